--- /dev/null
+++ b/onyxhollow/__init__.py
@@ -0,0 +1,1 @@
+"""onyxhollow: a balancer for long-lived connections."""
--- /dev/null
+++ b/onyxhollow/policy.py
@@ -0,0 +1,595 @@
+"""All decisions of onyxhollow.
+
+How it is called: a host (see Host in onyxhollow/interface.py, where all types that cross the door are
+defined) makes one Balancer an instance, hands it the server list (server_list), new sessions (take),
+connections already open (adopt), probe results (probed) and its one timer (tick). take returns a Session;
+all that happens to it later is a call on that Session.
+
+The design (docs/design.md): the lesser, by own connections per size, of two random servers and the one
+remembered best; paced hand-off in four stages when a server drains; the same pace for cold arrivals.
+Beside it stand:
+1. distrust: a score for each server that fades; its traffic follows it, and a high one makes it the source
+   of a hand-off.
+2. dial plan: how long a dial may take, and what follows when it fails.
+3. cold budget: this balancer's own share of what all together may send to a cold server.
+4. list watch: asking for the server list again after a failure, before silence counts as told.
+5. probing: a few probes a second, as the price allows, for the load servers report.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable, Hashable, Iterable
+from random import Random
+
+from onyxhollow.interface import (
+    Customer,
+    DialEnd,
+    Entry,
+    Host,
+    Listener,
+    ListKind,
+    Readiness,
+    Repeat,
+    Scope,
+    Settings,
+)  # fmt: skip
+
+TICK = 0.05  # the one periodic timer, seconds
+FRESH = 5.0  # a latency figure older than this is none
+SMOOTHING = 0.3  # weight of the newest latency figure
+FADE = 7.0  # seconds in which distrust falls to a third
+DISTRUSTED = 2.0  # above this, and above twice the fleet's median, a server gets nothing if others can
+GROUP_COST = 2.0  # connections that a group new to a server counts for
+
+
+class Figure:
+    """A smoothed figure that goes stale."""
+
+    def __init__(self) -> None:
+        self.value, self.at = 0.0, -math.inf
+
+    def add(self, value: float, now: float) -> None:
+        self.value += (value - self.value) * (SMOOTHING if now - self.at < FRESH else 1.0)
+        self.at = now
+
+    def fresh(self, now: float) -> float | None:
+        return self.value if now - self.at < FRESH else None
+
+
+class Pace:
+    """The design's staged pace: how many connections may move this second (paper, section 3.2)."""
+
+    BASE = (0.05, 0.10, 0.15, 0.20)
+
+    def __init__(self, count: int) -> None:
+        self.count, self.moved, self.carry = count, 0, 0.0
+
+    @property
+    def stage(self) -> int:
+        return min(3, 4 * self.moved // self.count) if self.count else 3
+
+    def allowance(self, source: float | None, receiver: float | None) -> int:
+        rate = float(math.ceil(self.BASE[self.stage] * self.count))
+        if source is not None and receiver is not None:
+            if self.stage < 3 and receiver >= 2 * source:
+                rate /= 4 if receiver >= 3 * source else 2
+            if source > receiver:
+                rate *= 2
+        self.carry, whole = math.modf(rate + self.carry)
+        return int(whole)
+
+
+class Server:
+    """What one balancer knows of one server."""
+
+    def __init__(self, entry: Entry) -> None:
+        self.name = entry.name
+        self.learn(entry)
+        self.connections: dict[Session, None] = {}  # dials out and connections open, in order of placing
+        self.groups: dict[Hashable, int] = {}
+        self.heard = False  # whether this balancer has had a connection there
+        self.distrust, self.distrust_at = 0.0, 0.0
+        self.delay, self.set_up, self.load = Figure(), Figure(), Figure()
+        self.arrival: Arrival | None = None
+        self.leaving: HandOff | None = None
+
+    def learn(self, entry: Entry) -> None:
+        self.readiness, self.started = Readiness.IN_SERVICE, entry.started
+        self.size, self.zone, self.cell = entry.size, entry.zone, entry.cell
+
+    def score(self, now: float) -> float:
+        return self.distrust * math.exp((self.distrust_at - now) / FADE)
+
+    def blame(self, amount: float, now: float) -> None:
+        self.distrust, self.distrust_at = max(0.0, self.score(now) + amount), now
+
+    def hold(self, sess: Session) -> None:
+        self.connections[sess] = None
+        self.heard = True
+        if sess.group is not None:
+            self.groups[sess.group] = self.groups.get(sess.group, 0) + 1
+
+    def release(self, sess: Session) -> None:
+        if sess not in self.connections:
+            return
+        del self.connections[sess]
+        if sess.group is not None:
+            self.groups[sess.group] -= 1
+            if not self.groups[sess.group]:
+                del self.groups[sess.group]
+        if self.leaving:
+            self.leaving.pace.moved += 1
+
+
+class Session:
+    """The handle of one session. All that happens to it after take is a call here."""
+
+    def __init__(self, balancer: Balancer, token: Hashable, listener: Listener, customer: Customer | None,
+                 group: Hashable, give_up: float, load: float | None) -> None:  # fmt: skip
+        self.balancer, self.token, self.listener, self.customer = balancer, token, listener, customer
+        self.group, self.give_up, self.load = group, give_up, load
+        self.server: Server | None = None
+        self.tried: list[Server] = []
+        self.dials, self.dialling, self.standing = 0, False, False
+        self.answered = self.placed = False
+        self.hold_until = 0.0
+        self.news_at = -math.inf
+        self.may_run_at: Server | None = None  # the first server on which this session may have run
+        self.may_run_since = 0.0
+
+    def accepted(self, took: float) -> None:
+        """The connection stands; it lasts until its dial ends."""
+        if self.server is None or self.answered:
+            return
+        self.standing = self.answered = True
+        self.balancer.dial_worked(self, took)
+
+    def load_news(self, load: float) -> None:
+        self.load, self.news_at = load, self.balancer.host.now
+
+    def delay_news(self, delay: float) -> None:
+        if self.server is not None:
+            self.balancer.delay_told(self.server, delay, self.listener.message_target)
+
+    def client_gone(self) -> None:
+        """Nothing is owed any more; a dial still out is called back where that is allowed."""
+        self.answered = True
+        if self.dialling and not self.standing and self.balancer.cancelling:
+            self.balancer.host.cancel(self.token, self.dials - 1)
+
+    def dial_ended(self, end: DialEnd, final: bool, took: float, load: float | None = None) -> None:
+        if not self.dialling or self.server is None:
+            return
+        server, self.dialling = self.server, False
+        server.release(self)
+        if load is not None:
+            server.load.add(load, self.balancer.host.now)
+        self.balancer.dial_judged(self, server, end, took)
+        stood, self.standing = self.standing, False
+        if not end.never_ran and not stood and self.may_run_at is None:
+            self.may_run_at = server
+        if final or stood:
+            self.answered = True
+        elif not self.answered:
+            self.balancer.dial(self)
+
+    def may_refuse(self) -> bool:
+        """Rule 2: a refusal promises that coming again is harmless."""
+        repeat = self.listener.repeat
+        return (self.may_run_at is None or repeat is Repeat.REPEATABLE
+                or repeat is Repeat.REFERENCED and self.listener.scope is Scope.ALL)  # fmt: skip
+
+    def may_go_to(self, server: Server, now: float) -> bool:
+        """Rule 2: whether a dial to this server can not make anything run twice."""
+        first, listener = self.may_run_at, self.listener
+        if first is None or listener.repeat is Repeat.REPEATABLE:
+            return True
+        if listener.repeat is Repeat.ONCE_ONLY or now - self.may_run_since >= listener.window - TICK:
+            return False
+        return (listener.scope is Scope.ALL or listener.scope is Scope.ZONE and server.zone == first.zone
+                or listener.scope is Scope.CELL and server.cell == first.cell)  # fmt: skip
+
+
+class ColdBudget:
+    """Rule 4. Own share of the fleet's budget: what warm servers of like size take from this balancer, times
+    the share of its capacity a cold server has by now, times the stated multiple; starts are staggered by
+    the balancer's own number, so that the whole placements of all balancers do not fall together."""
+
+    MARGIN = 0.7  # chance, heavy sessions
+    MEMORY = 20.0  # seconds over which the rate of new sessions is averaged
+
+    def __init__(self, share: float, time: float, multiple: float, phase: float, now: float) -> None:
+        self.share, self.time, self.multiple, self.phase = share, time, multiple, phase
+        self.since, self.at, self.seen = now, now, 0.0
+        self.tokens: dict[Server, tuple[float, float]] = {}
+
+    def arrived(self, now: float) -> None:
+        self.seen = self.seen * math.exp((self.at - now) / self.MEMORY) + 1.0
+        self.at = now
+
+    def rate(self, now: float) -> float:
+        span = self.MEMORY * (1.0 - math.exp((self.since - now) / self.MEMORY))
+        return self.seen * math.exp((self.at - now) / self.MEMORY) / max(span, 1.0)
+
+    def cold(self, server: Server, now: float) -> bool:
+        return server.started is not None and now - server.started < self.time
+
+    def grow(self, server: Server, fleet_size: float, now: float) -> float:
+        """How many sessions may go to this cold server now."""
+        level, at = self.tokens.get(server, (self.phase, now))
+        warmth = self.share + (1.0 - self.share) * max(0.0, now - (server.started or 0.0)) / self.time
+        rate = self.rate(now) * server.size / max(fleet_size, server.size) * min(1.0, warmth)
+        level = min(1.0, level + (now - at) * rate * self.multiple * self.MARGIN)
+        self.tokens[server] = (level, now)
+        return level
+
+
+class Arrival:
+    """A cold joiner or returner: new placements at the staged pace, until its fair share is reached."""
+
+    def __init__(self, server: Server, share: int) -> None:
+        self.server, self.pace, self.credit = server, Pace(max(1, share)), 0
+
+
+class HandOff:
+    """Moves this balancer's own connections off one source in four stages."""
+
+    def __init__(self, source: Server, now: float) -> None:
+        self.source, self.pace = source, Pace(len(source.connections))
+        self.delay, self.set_up = source.delay.fresh(now), source.set_up.fresh(now)  # before the notice
+
+    def movable(self) -> list[Session]:
+        """Idle first, read as little load and no recent word of it."""
+        own = [s for s in self.source.connections if s.standing and s.placed]
+        return sorted(own, key=lambda s: (s.load if s.load is not None else math.inf, s.news_at))
+
+
+class ListWatch:
+    """Keeps the subscription; after a failure asks again with spread, growing waits, well within the time
+    after which silence counts as told."""
+
+    def __init__(self, within: float, rng: Random) -> None:
+        self.within, self.rng, self.failures, self.asked, self.lost = within, rng, 0, -math.inf, True
+
+    def wait(self) -> float:
+        return min(self.within / 4, math.ldexp(0.25, self.failures)) * self.rng.uniform(0.5, 1.0)
+
+
+class Balancer:
+    """One instance: everything one proxy knows and decides."""
+
+    def __init__(self, host: Host, settings: Settings, seed: int) -> None:
+        self.host, self.rng = host, Random(seed)
+        self.servers: dict[str, Server] = {}
+        self.memory: dict[Hashable, Server] = {}
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.counter = 0
+        self.setting_up = Figure()
+        self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
+        self.retry_after, self.share_groups = settings.retry_after, settings.groups
+        self.budget = ColdBudget(settings.cold_share, settings.cold_time, settings.fall_multiple,
+                                 settings.me / settings.balancers, host.now)  # fmt: skip
+        self.list_watch = ListWatch(settings.ask_within, self.rng) if settings.watched else None
+        self.probe_price = settings.probe_price if settings.probes else None
+        self.probe_at = 0
+        if self.list_watch:
+            self.later(self.rng.uniform(0.0, 0.2), self.ask)
+        self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
+        host.wake_at(host.now + TICK)
+
+    # ---- time
+
+    def later(self, wait: float, call: Callable[[], None]) -> None:
+        self.counter += 1
+        heapq.heappush(self.due, (self.host.now + wait, self.counter, call))
+
+    def tick(self) -> None:
+        """The one periodic timer: does what has fallen due."""
+        now = self.host.now
+        while self.due and self.due[0][0] <= now:
+            heapq.heappop(self.due)[2]()
+        self.host.wake_at(now + TICK)
+
+    # ---- the server list
+
+    def ask(self) -> None:
+        watch = self.list_watch
+        if watch and watch.lost and self.host.now - watch.asked > watch.within / 4:
+            watch.asked = self.host.now
+            self.host.watch()
+            self.later(watch.within / 2, self.ask)  # no word at all counts as a failure
+
+    def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
+        watch = self.list_watch
+        if kind is ListKind.FAILED:
+            if watch:
+                watch.lost, watch.failures, watch.asked = True, watch.failures + 1, -math.inf
+                wait = watch.wait()
+                self.host.log(f"list lost: failures {watch.failures}, asking again in {wait:.2f} s")
+                self.later(wait, self.ask)
+            return
+        if watch and kind is not ListKind.CACHED:
+            if watch.lost:
+                self.host.log(f"list watched: failures before {watch.failures}")
+            watch.lost, watch.failures = False, 0
+        first = not self.servers
+        named = set()
+        for entry in entries:
+            named.add(entry.name)
+            self.told(entry, first)
+        if kind is not ListKind.CHANGES:
+            for name, server in self.servers.items():
+                if name not in named and server.readiness is not Readiness.GONE:
+                    self.leave(server, Readiness.GONE)
+
+    def told(self, entry: Entry, first: bool) -> None:
+        now, server = self.host.now, self.servers.get(entry.name)
+        if server is None:
+            if entry.readiness is Readiness.GONE:
+                return
+            server = self.servers[entry.name] = Server(entry)
+            joined = not first
+        else:
+            joined = server.readiness is not Readiness.IN_SERVICE
+        restarted = entry.started is not None and entry.started != server.started
+        if entry.readiness is not Readiness.IN_SERVICE:
+            self.leave(server, entry.readiness)
+            return
+        server.learn(entry)
+        if restarted and self.budget.cold(server, now) or joined:
+            # A returner starts anew: what was known of it before its restart says nothing.
+            server.leaving, server.distrust = None, 0.0
+            self.budget.tokens.pop(server, None)
+            share = self.mean_load() * server.size
+            server.arrival = arrival = Arrival(server, round(share))
+            self.host.log(f"arrival {server.name}: size {server.size:g}, share {share:.1f}")
+            self.later(1.0, lambda: self.step_arrival(arrival))
+
+    def leave(self, server: Server, readiness: Readiness) -> None:
+        news = server.readiness is Readiness.IN_SERVICE
+        server.readiness, server.arrival = readiness, None
+        if readiness is Readiness.DRAINING and news:
+            self.hand_off(server, "drain")
+
+    def open_servers(self) -> list[Server]:
+        return [s for s in self.servers.values() if s.readiness is Readiness.IN_SERVICE]
+
+    # ---- latency, as the design compares it
+
+    def compare(self, source: tuple[float | None, float | None],
+                receivers: list[Server]) -> tuple[float | None, float | None]:  # fmt: skip
+        """Source and receivers by message delay where both sides report one, else by set-up time."""
+        now = self.host.now
+        for place, kind in enumerate(("delay", "set_up")):
+            figures = [f for r in receivers if (f := getattr(r, kind).fresh(now)) is not None]
+            mine = source[place]
+            if mine is not None and figures:
+                return mine, sum(figures) / len(figures)
+        return None, None
+
+    # ---- staged pace
+
+    def hand_off(self, source: Server, why: str) -> None:
+        source.leaving = HandOff(source, self.host.now)
+        self.host.log(f"hand-off {source.name}: {why}, own connections {source.leaving.pace.count}")
+        self.step_hand_off(source.leaving)
+
+    def step_hand_off(self, off: HandOff) -> None:
+        source, pace, now = off.source, off.pace, self.host.now
+        if source.leaving is not off:
+            return
+        serving = source.readiness is Readiness.IN_SERVICE
+        if serving and source.score(now) < DISTRUSTED / 2 or not source.connections:
+            self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
+            if serving:
+                source.leaving = None
+            return
+        now_delay = source.delay.fresh(now)
+        receivers = [s for s in self.open_servers() if s is not source and not s.leaving]
+        figures = self.compare((off.delay if now_delay is None else now_delay, off.set_up), receivers)
+        allowance = pace.allowance(*figures)
+        if receivers:
+            for sess in off.movable()[:allowance]:
+                sess.standing = False
+                source.release(sess)
+                self.host.move(sess.token)
+        self.later(1.0, lambda: self.step_hand_off(off))
+
+    def step_arrival(self, arrival: Arrival) -> None:
+        server, now = arrival.server, self.host.now
+        if server.arrival is not arrival:
+            return
+        if arrival.pace.moved >= arrival.pace.count and not self.budget.cold(server, now):
+            server.arrival = None
+            self.host.log(f"arrival {server.name} ends: own connections {len(server.connections)}")
+            return
+        others = [s for s in self.open_servers() if not s.arrival]
+        figures = self.compare((server.delay.fresh(now), server.set_up.fresh(now)), others)
+        arrival.credit = arrival.credit or max(1, arrival.pace.allowance(figures[1], figures[0]))
+        self.later(1.0, lambda: self.step_arrival(arrival))
+
+    # ---- the pick
+
+    def mean_load(self) -> float:
+        """Own connections per size, over the servers heard of."""
+        heard = [s for s in self.open_servers() if s.heard and not s.arrival]
+        size = sum(s.size for s in heard)
+        return sum(len(s.connections) for s in heard) / size if size else 0.0
+
+    def weight(self, server: Server, group: Hashable, mean: float, now: float) -> float:
+        """Own connections per size, a group new there counted in, raised by distrust."""
+        own = float(len(server.connections)) if server.heard else mean * server.size
+        if self.share_groups and group is not None and group not in server.groups:
+            own += GROUP_COST
+        return (own + 1.0) / server.size * (1.0 + server.score(now))
+
+    def distrusted(self, servers: list[Server]) -> set[Server]:
+        """Servers that stand out; where all look bad alike (a slow store, say) none does."""
+        now = self.host.now
+        scores = sorted(s.score(now) for s in servers)
+        bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
+        bad = {s for s in servers if s.score(now) > bar}
+        return bad if 2 * len(bad) < len(servers) else set()
+
+    def home(self, sess: Session, servers: list[Server]) -> Server | None:
+        """The remembered best: per group where groups share work. A group not met yet is remembered where
+        every balancer would look first, so that its connections meet without a word between balancers."""
+        if not self.share_groups or sess.group is None:
+            return self.memory.get(None)
+        known = self.memory.get(sess.group)
+        if known in servers or not servers:
+            return known
+        return max(servers, key=lambda s: math.log(Random(f"{sess.group} {s.name}").random()) / s.size)
+
+    def pick(self, sess: Session) -> Server | None:
+        now, fleet = self.host.now, self.open_servers()
+        pool = [s for s in fleet if sess.may_go_to(s, now)]
+        pool = [s for s in pool if s not in sess.tried] or pool
+        total = sum(s.size for s in fleet)
+        ready = [s for s in pool if s.arrival and s.arrival.credit > 0
+                 and (not self.budget.cold(s, now) or self.budget.grow(s, total, now) >= 1.0)]  # fmt: skip
+        warm = [s for s in pool if not s.arrival]
+        bad = self.distrusted(fleet)
+        trusted = [s for s in warm if s not in bad and not s.leaving] or warm
+        mean = self.mean_load()
+        arriving = [s for s in ready if s not in bad]
+        if arriving:
+            best = min(arriving, key=lambda s: self.weight(s, None, mean, now))
+            if best.arrival:
+                best.arrival.credit -= 1
+                best.arrival.pace.moved += 1
+            if self.budget.cold(best, now):
+                self.budget.tokens[best] = (self.budget.grow(best, total, now) - 1.0, now)
+            return best
+        if not trusted:
+            return None
+        candidates = self.rng.sample(trusted, min(2, len(trusted)))
+        remembered = self.home(sess, trusted)
+        if remembered is not None and remembered in trusted:
+            candidates.insert(0, remembered)
+        best = min(candidates, key=lambda s: self.weight(s, sess.group, mean, now))
+        self.memory[sess.group if self.share_groups else None] = best
+        return best
+
+    # ---- sessions
+
+    def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
+             time_left: float, load: float | None, came_back: bool) -> Session:  # fmt: skip
+        now = self.host.now
+        sess = Session(self, token, listener, customer, group, now + time_left, load)
+        sess.hold_until = now + time_left / 2
+        if not came_back:
+            self.budget.arrived(now)
+        self.dial(sess)
+        return sess
+
+    def adopt(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
+              load: float | None, name: str) -> Session | None:  # fmt: skip
+        """A connection that stood before this balancer started: counted, but never moved by it."""
+        server = self.servers.get(name)
+        if server is None:
+            return None
+        sess = Session(self, token, listener, customer, group, math.inf, load)
+        sess.server, sess.dialling, sess.standing, sess.answered = server, True, True, True
+        server.hold(sess)
+        return sess
+
+    def dial(self, sess: Session) -> None:
+        if sess.answered or sess.dialling:
+            return
+        now, left = self.host.now, sess.give_up - self.host.now
+        if left <= 0 or sess.dials >= self.most_dials or sess.dials and not self.may_redial(sess):
+            self.end(sess)
+            return
+        server = self.pick(sess)
+        if server is None:
+            # Nothing may be sent anywhere (all cold, budgets spent; the list empty): hold a while.
+            if now < sess.hold_until:
+                self.later(TICK, lambda: self.dial(sess))
+            else:
+                self.end(sess)
+            return
+        sess.server, sess.placed, sess.dialling = server, True, True
+        sess.dials += 1
+        sess.tried.append(server)
+        if sess.may_run_at is None:
+            sess.may_run_since = now
+        server.hold(sess)
+        self.host.dial(sess.token, server.name, self.dial_time(sess, left))
+
+    def dial_time(self, sess: Session, left: float) -> float:
+        """Dial plan: early dials get the handshake target or thrice what set-ups take in the fleet now, so
+        that a slow store does not make every dial fail; the last, and any that can't be repeated, all."""
+        if sess.dials >= self.most_dials or sess.listener.repeat is Repeat.ONCE_ONLY:
+            return left
+        usual = self.setting_up.fresh(self.host.now) or 0.0
+        return min(left, max(sess.listener.handshake_target, 3.0 * usual))
+
+    def may_redial(self, sess: Session) -> bool:
+        return any(sess.may_go_to(s, self.host.now) for s in self.open_servers())
+
+    def end(self, sess: Session) -> None:
+        sess.answered = True
+        if sess.may_refuse():
+            self.host.refuse(sess.token, self.retry_after * self.rng.uniform(0.3, 1.0))
+        else:
+            self.host.tear_down(sess.token)
+
+    # ---- what is learnt
+
+    def dial_worked(self, sess: Session, took: float) -> None:
+        now, server = self.host.now, sess.server
+        if server is not None:
+            server.set_up.add(took, now)
+            self.setting_up.add(took, now)
+            server.blame(-0.3 * server.score(now), now)
+
+    def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
+        now = self.host.now
+        if end is DialEnd.OK or end in (DialEnd.CANCELLED, DialEnd.NOT_SENT):
+            return
+        if not sess.standing:
+            server.set_up.add(max(took, sess.listener.handshake_target), now)
+            if end is DialEnd.TIMEOUT:
+                self.setting_up.add(took, now)
+        self.blame(server, 0.3 if sess.standing else 0.5 if end is DialEnd.FULL else 1.0)
+
+    def delay_told(self, server: Server, delay: float, target: float) -> None:
+        server.delay.add(delay, self.host.now)
+        if target and delay > target:
+            self.blame(server, 0.3)
+
+    def blame(self, server: Server, amount: float) -> None:
+        now = self.host.now
+        server.blame(amount, now)
+        if server.leaving or server.readiness is not Readiness.IN_SERVICE:
+            return
+        if server.score(now) >= 2 * DISTRUSTED and server in self.distrusted(self.open_servers()):
+            # A sick server that nobody drains: the source of the same hand-off.
+            self.hand_off(server, f"distrust {server.score(now):.1f}")
+
+    # ---- probing
+
+    def probe_round(self) -> None:
+        fleet, now = self.open_servers(), self.host.now
+        if self.probe_price is None:
+            return
+        rate = min(4.0, 0.002 / max(self.probe_price, 1e-4) * self.budget.rate(now))
+        if fleet:
+            self.probe_at += 1
+            self.host.probe(fleet[self.probe_at % len(fleet)].name)
+        self.later(1.0 / max(rate, 0.2), self.probe_round)
+
+    def probed(self, name: str, end: DialEnd, took: float, load: float | None) -> None:
+        server = self.servers.get(name)
+        if server is None:
+            return
+        if end is DialEnd.OK:
+            if load is not None:
+                server.load.add(load, self.host.now)
+                if load > 1.0:
+                    self.blame(server, min(1.0, load - 1.0))
+        elif end is not DialEnd.FULL:
+            self.blame(server, 1.0)
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,218 @@
+"""What the balancer does, each story told against the fake host."""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from conftest import CALLS
+
+from onyxhollow.interface import DialEnd, ListKind, Readiness, Repeat, Scope
+from onyxhollow.policy import Pace
+
+ONCE = replace(CALLS, repeat=Repeat.ONCE_ONLY)
+REFERENCED = replace(CALLS, repeat=Repeat.REFERENCED, scope=Scope.CELL, window=1.0)
+
+
+def placed(host):
+    return Counter(server for _, server, _ in host.asked("dial"))
+
+
+def test_own_connections_even_out_per_registered_size(host):
+    host.servers("a", "b", "c", size=1.0)
+    host.servers("d", kind=ListKind.CHANGES, size=3.0)
+    host.balancer.servers["d"].arrival = None
+    for _ in range(120):
+        host.take()
+    counts = placed(host)
+    assert 45 <= counts["d"] <= 75 and all(15 <= counts[n] <= 27 for n in "abc")
+
+
+def test_the_remembered_best_is_looked_at_beside_the_two_drawn(host):
+    servers = host.servers(*"abcdefghij")
+    for server in servers[1:]:
+        host.take().server.heard = True
+        server.heard = True
+        host.balancer.servers[server.name].blame(1.0, host.now)
+    host.balancer.memory[None] = servers[0]
+    servers[0].connections.clear()
+    assert host.take().server is servers[0]
+
+
+def test_a_server_not_heard_of_starts_at_the_mean(host):
+    old = host.servers("a", "b")
+    for _ in range(20):
+        host.take()
+    host.servers("c", kind=ListKind.CHANGES)
+    host.balancer.servers["c"].arrival = None
+    mean = host.balancer.mean_load()
+    weigh = [host.balancer.weight(s, None, mean, host.now) for s in (*old, host.balancer.servers["c"])]
+    assert weigh[2] == pytest.approx(sum(weigh[:2]) / 2)
+
+
+def test_connections_of_a_group_meet_on_one_server_at_all_balancers(start):
+    homes = set()
+    for seed in (1, 2, 3):
+        host = start(seed, groups=True)
+        host.servers(*"abcdef", size=4.0)
+        homes |= {host.take(group="g7").server.name for _ in range(4)}
+    assert len(homes) == 1
+
+
+def test_the_pace_of_each_stage_and_its_throttles():
+    def rate(moved, source=None, receiver=None):
+        pace = Pace(40)
+        pace.moved = moved
+        return sum(pace.allowance(source, receiver) for _ in range(4)) / 4
+
+    assert [rate(m) for m in (0, 10, 20, 30)] == [2, 4, 6, 8]
+    assert [rate(0, 1.0, r) for r in (1.9, 2.0, 3.0)] == [2, 1, 0.5]
+    assert [rate(30, 1.0, r) for r in (2.0, 3.0)] == [8, 8]  # no throttle in the last stage
+    assert rate(0, 1.1, 1.0) == 4 and rate(30, 1.1, 1.0) == 16
+
+
+def test_a_drain_moves_own_connections_idle_first_and_counts_natural_ends(host):
+    (a,) = host.servers("a")
+    sessions = [host.take() for _ in range(40)]
+    for load, sess in enumerate(sessions):
+        sess.load_news(float(40 - load))
+    host.balancer.adopt(7, CALLS, None, None, 0.0, "a")
+    host.servers("b", kind=ListKind.CHANGES)
+    host.servers("a", kind=ListKind.CHANGES, readiness=Readiness.DRAINING)
+    assert host.take(stands=False).server is not a
+    host.wait(2.2)
+    moved = [token for (token,) in host.asked("move")]
+    assert moved[:6] == [s.token for s in sessions[:-7:-1]] and 7 not in moved
+    sessions[0].dial_ended(DialEnd.OK, True, 9.0)
+    assert a.leaving.pace.moved == len(moved) + 1
+
+
+def test_a_receiver_slower_than_before_the_notice_halves_the_hand_off(host):
+    a, b = host.servers("a", "b")
+    for _ in range(80):
+        host.take(took=0.01)
+    host.servers("a", kind=ListKind.CHANGES, readiness=Readiness.DRAINING)
+    first = len(host.asked("move"))
+    b.set_up.add(0.1, host.now)
+    host.wait(2.2)
+    assert first and len(host.asked("move")) - first <= first
+
+
+def test_a_cold_joiner_takes_no_more_than_its_own_share_of_the_fleets_budget(start):
+    host = start(balancers=4, me=0)
+    host.servers("a", "b", "c")
+    for _ in range(40):
+        host.wait(0.25)
+        host.take()
+    host.servers("d", kind=ListKind.CHANGES, started=host.now)
+    before = len(host.asked("dial"))
+    for _ in range(8):
+        host.wait(0.25)
+        host.take()
+    cold = [s for _, s, _ in host.asked("dial")[before:]].count("d")
+    assert cold <= 2  # a warm server takes 1 a second from this balancer; a quarter of that, twice, for 2 s
+    for _ in range(160):
+        host.wait(0.25)
+        host.take()
+    assert host.balancer.servers["d"].arrival is None and placed(host)["d"] >= 30
+
+
+def test_all_servers_cold_sessions_are_held_and_then_refused_at_half_time(host):
+    host.servers("a")
+    host.servers("a", kind=ListKind.CHANGES, started=host.now)
+    host.balancer.budget.seen = 0.0
+    sess = host.take()
+    host.wait(0.9)
+    assert not host.asked("dial") and not host.asked("refuse")
+    host.wait(0.3)
+    assert host.asked("refuse")[0][0] == sess.token
+    host.wait(5.0)
+    assert len(host.asked("refuse")) == 1 and not host.asked("dial")
+
+
+def test_rule_1_one_answer_and_nothing_after_it(host):
+    host.servers("a", "b")
+    sess = host.take(stands=False)
+    for _ in range(3):
+        sess.dial_ended(DialEnd.FULL, False, 0.001)
+    assert not host.asked("refuse")
+    sess.dial_ended(DialEnd.FULL, False, 0.001)
+    assert len(host.asked("refuse")) == 1 and len(host.asked("dial")) == 4
+    sess.dial_ended(DialEnd.FULL, False, 0.001)
+    gone = host.take(stands=False)
+    gone.client_gone()
+    gone.dial_ended(DialEnd.TIMEOUT, True, 0.3)
+    assert len(host.asked("refuse")) == 1 and len(host.asked("dial")) == 5
+
+
+def test_rule_2_once_only_is_redialled_only_if_it_never_ran(host, lost):
+    host.servers("a", "b")
+    sess = host.take(ONCE, stands=False)
+    lost(sess, DialEnd.CONNECT_FAILED)
+    assert len(host.asked("dial")) == 2
+    lost(sess, DialEnd.UNKNOWN)
+    assert len(host.asked("dial")) == 2
+    assert host.asked("tear_down") == [(sess.token,)] and not host.asked("refuse")
+
+
+SAME, OTHER = (1, 1), (1, 2)
+
+
+@pytest.mark.parametrize("cells, later, again", [(SAME, 0.5, True), (OTHER, 0.5, False), (SAME, 1.2, False)])
+def test_rule_2_referenced_repeats_only_in_its_group_and_window(host, lost, cells, later, again):
+    host.servers("a", cell=cells[0])
+    sess = host.take(REFERENCED, stands=False)
+    host.servers("b", kind=ListKind.CHANGES, cell=cells[1])
+    host.servers("a", kind=ListKind.CHANGES, readiness=Readiness.GONE)
+    host.balancer.servers["b"].arrival = None
+    host.wait(later)
+    lost(sess, DialEnd.TIMEOUT)
+    assert (len(host.asked("dial")) == 2) is again
+    assert host.asked("tear_down") == ([] if again else [(sess.token,)])
+
+
+def test_rule_3_a_server_absent_from_a_full_list_gets_nothing(host):
+    host.servers("a", "b")
+    host.servers("b")
+    assert {host.take().server.name for _ in range(30)} == {"b"}
+
+
+def test_a_lost_list_is_asked_for_again_before_silence_counts_as_told(start):
+    host = start(watched=True, ask_within=10.0)
+    host.servers("a", kind=ListKind.CACHED)
+    host.wait(0.5)
+    assert len(host.asked("watch")) == 1
+    for _ in range(6):
+        host.servers(kind=ListKind.FAILED)
+        asked = len(host.asked("watch"))
+        host.wait(2.6)
+        assert len(host.asked("watch")) > asked
+    host.servers("a", kind=ListKind.FULL)
+    asked = len(host.asked("watch"))
+    host.wait(20.0)
+    assert len(host.asked("watch")) == asked
+
+
+def test_a_sick_server_nobody_drains_gets_nothing_and_is_handed_off(host, lost):
+    a, *_ = host.servers(*"abcde")
+    for _ in range(50):
+        host.take()
+    mine = [s for s in a.connections if s.placed]
+    for sess in mine[:6]:
+        sess.delay_news(1.0)
+        host.balancer.blame(a, 1.0)
+    before = placed(host)["a"]
+    host.wait(1.2)
+    assert {token for (token,) in host.asked("move")} <= {s.token for s in mine} and host.asked("move")
+    for _ in range(10):
+        host.take()
+    assert placed(host)["a"] == before
+    host.wait(60.0)
+    assert a.leaving is None
+
+
+def test_a_store_that_is_slow_for_all_makes_no_server_stand_out(host, lost):
+    servers = host.servers(*"abcd")
+    for _ in range(6):
+        for server in servers:
+            host.balancer.blame(server, 1.0)
+    assert not host.balancer.distrusted(servers) and not any(s.leaving for s in servers)
