--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -14,12 +14,15 @@
 3. cold budget: this balancer's own share of what all together may send to a cold server.
 4. list watch: asking for the server list again after a failure, before silence counts as told.
 5. probing: a few probes a second, as the price allows, for the load servers report.
+6. overload refusal: sessions that no server may take now wait, those of most utility and within their
+   customer's share first, and are refused when half their dial timeout is over.
 """
 
 from __future__ import annotations
 
 import heapq
 import math
+from collections import Counter
 from collections.abc import Callable, Hashable, Iterable
 from random import Random
 
@@ -266,6 +269,8 @@
         self.memory: dict[Hashable, Server] = {}
         self.due: list[tuple[float, int, Callable[[], None]]] = []
         self.counter = 0
+        self.waiting: list[Session] = []
+        self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
         self.setting_up = Figure()
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
         self.retry_after, self.share_groups = settings.retry_after, settings.groups
@@ -290,6 +295,18 @@
         now = self.host.now
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
+        if self.waiting:
+            # Overload: those of most utility first, less if their customer holds more than its share.
+            held = Counter(s.customer for server in self.servers.values() for s in server.connections)
+
+            def value(sess: Session) -> float:
+                who = sess.customer
+                over = who is not None and 0 < who.connections < self.balancers * held[who]
+                return sess.listener.utility * (self.overage_utility if over else 1.0)
+
+            waiting, self.waiting = sorted(self.waiting, key=value, reverse=True), []
+            for sess in waiting:
+                self.dial(sess)
         self.host.wake_at(now + TICK)
 
     # ---- the server list
@@ -342,10 +359,8 @@
             # A returner starts anew: what was known of it before its restart says nothing.
             server.leaving, server.distrust = None, 0.0
             self.budget.tokens.pop(server, None)
-            share = self.mean_load() * server.size
-            server.arrival = arrival = Arrival(server, round(share))
-            self.host.log(f"arrival {server.name}: size {server.size:g}, share {share:.1f}")
-            self.later(1.0, lambda: self.step_arrival(arrival))
+            why = "cold" if self.budget.cold(server, now) else "back"
+            self.arrive(server, why, self.mean_load() * server.size)
 
     def leave(self, server: Server, readiness: Readiness) -> None:
         news = server.readiness is Readiness.IN_SERVICE
@@ -397,11 +412,17 @@
                 self.host.move(sess.token)
         self.later(1.0, lambda: self.step_hand_off(off))
 
+    def arrive(self, server: Server, why: str, share: float) -> None:
+        server.arrival = Arrival(server, round(share))
+        self.host.log(f"arrival {server.name}: {why}, size {server.size:g}, share {share:.1f}")
+        self.step_arrival(server.arrival)
+
     def step_arrival(self, arrival: Arrival) -> None:
         server, now = arrival.server, self.host.now
         if server.arrival is not arrival:
             return
-        if arrival.pace.moved >= arrival.pace.count and not self.budget.cold(server, now):
+        eased = arrival.pace.moved >= arrival.pace.count and server.score(now) < DISTRUSTED
+        if eased and not self.budget.cold(server, now):
             server.arrival = None
             self.host.log(f"arrival {server.name} ends: own connections {len(server.connections)}")
             return
@@ -420,7 +441,8 @@
 
     def weight(self, server: Server, group: Hashable, mean: float, now: float) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
-        own = float(len(server.connections)) if server.heard else mean * server.size
+        known = server.heard or server.arrival
+        own = float(len(server.connections)) if known else mean * server.size
         if self.share_groups and group is not None and group not in server.groups:
             own += GROUP_COST
         return (own + 1.0) / server.size * (1.0 + server.score(now))
@@ -455,21 +477,20 @@
         trusted = [s for s in warm if s not in bad and not s.leaving] or warm
         mean = self.mean_load()
         arriving = [s for s in ready if s not in bad]
-        if arriving:
-            best = min(arriving, key=lambda s: self.weight(s, None, mean, now))
-            if best.arrival:
-                best.arrival.credit -= 1
-                best.arrival.pace.moved += 1
-            if self.budget.cold(best, now):
-                self.budget.tokens[best] = (self.budget.grow(best, total, now) - 1.0, now)
-            return best
-        if not trusted:
-            return None
         candidates = self.rng.sample(trusted, min(2, len(trusted)))
         remembered = self.home(sess, trusted)
         if remembered is not None and remembered in trusted:
             candidates.insert(0, remembered)
+        candidates += arriving
+        if not candidates:
+            return None
         best = min(candidates, key=lambda s: self.weight(s, sess.group, mean, now))
+        if best.arrival:
+            best.arrival.credit -= 1
+            best.arrival.pace.moved += 1
+            if self.budget.cold(best, now):
+                self.budget.tokens[best] = (self.budget.grow(best, total, now) - 1.0, now)
+            return best
         self.memory[sess.group if self.share_groups else None] = best
         return best
 
@@ -505,9 +526,9 @@
             return
         server = self.pick(sess)
         if server is None:
-            # Nothing may be sent anywhere (all cold, budgets spent; the list empty): hold a while.
+            # Nothing may be sent anywhere (all cold or strained, or the list empty): hold a while.
             if now < sess.hold_until:
-                self.later(TICK, lambda: self.dial(sess))
+                self.waiting.append(sess)
             else:
                 self.end(sess)
             return
@@ -566,6 +587,9 @@
         server.blame(amount, now)
         if server.leaving or server.readiness is not Readiness.IN_SERVICE:
             return
+        if server.score(now) >= DISTRUSTED and not server.arrival:
+            # Servers that shed drop what they took and take it again: a storm of set-ups. Ease them in anew.
+            self.arrive(server, f"distrust {server.score(now):.1f}", len(server.connections))
         if server.score(now) >= 2 * DISTRUSTED and server in self.distrusted(self.open_servers()):
             # A sick server that nobody drains: the source of the same hand-off.
             self.hand_off(server, f"distrust {server.score(now):.1f}")
