Strained servers get nothing new and shed by hand-off; a group new to a server costs 8

Cause: jams kept up by set-ups poured on servers that already dropped connections, and by groups spread over many servers. Reported load is now carried on by own connections (measured next).

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -24,6 +24,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Hashable, Iterable
+from hashlib import blake2b
 from random import Random
 
 from onyxhollow.interface import (
@@ -44,7 +45,16 @@
 SMOOTHING = 0.3  # weight of the newest latency figure
 FADE = 7.0  # seconds in which distrust falls to a third
 DISTRUSTED = 2.0  # above this, and above twice the fleet's median, a server gets nothing if others can
-GROUP_COST = 2.0  # connections that a group new to a server counts for
+STRAIN_FOR = 1.5  # seconds for which word of overload keeps new sessions off a server
+FULL_LOAD = 0.85  # reported load over capacity from which a server is strained
+LOAD_KEPT = 10.0  # seconds for which a reported load is carried on
+GROUP_COST = 8.0  # connections that a group new to a server counts for
+
+
+def draw(*names: Hashable) -> float:
+    """The same number between 0 and 1 for the same names, at every balancer."""
+    told = blake2b(" ".join(map(str, names)).encode(), digest_size=6).digest()
+    return (int.from_bytes(told, "big") + 0.5) / 2.0**48
 
 
 class Figure:
@@ -94,10 +104,24 @@
         self.groups: dict[Hashable, int] = {}
         self.heard = False  # whether this balancer has had a connection there
         self.distrust, self.distrust_at = 0.0, 0.0
-        self.delay, self.set_up, self.load = Figure(), Figure(), Figure()
+        self.delay, self.set_up = Figure(), Figure()
+        self.load, self.load_at, self.load_count = 0.0, -math.inf, 0
+        self.probed_at = -1.0
+        self.strained_at = -math.inf  # last word of overload: it shed, was full, or its messages came late
         self.arrival: Arrival | None = None
         self.leaving: HandOff | None = None
 
+    def load_now(self, now: float) -> float:
+        """The load last reported, carried on by own connections since; 0 if none is known."""
+        known = now - self.load_at < LOAD_KEPT
+        return self.load * (len(self.connections) + 1) / (self.load_count + 1) if known else 0.0
+
+    def report(self, load: float, now: float) -> None:
+        self.load, self.load_at, self.load_count = load, now, len(self.connections)
+
+    def strained(self, now: float) -> bool:
+        return now - self.strained_at < STRAIN_FOR or self.load_now(now) >= FULL_LOAD
+
     def learn(self, entry: Entry) -> None:
         self.readiness, self.started = Readiness.IN_SERVICE, entry.started
         self.size, self.zone, self.cell = entry.size, entry.zone, entry.cell
@@ -168,7 +192,7 @@
         server, self.dialling = self.server, False
         server.release(self)
         if load is not None:
-            server.load.add(load, self.balancer.host.now)
+            server.report(load, self.balancer.host.now)
         self.balancer.dial_judged(self, server, end, took)
         stood, self.standing = self.standing, False
         if not end.never_ran and not stood and self.may_run_at is None:
@@ -278,10 +302,10 @@
                                  settings.me / settings.balancers, host.now)  # fmt: skip
         self.list_watch = ListWatch(settings.ask_within, self.rng) if settings.watched else None
         self.probe_price = settings.probe_price if settings.probes else None
-        self.probe_at = 0
         if self.list_watch:
             self.later(self.rng.uniform(0.0, 0.2), self.ask)
         self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
+        self.review()
         host.wake_at(host.now + TICK)
 
     # ---- time
@@ -293,6 +317,7 @@
     def tick(self) -> None:
         """The one periodic timer: does what has fallen due."""
         now = self.host.now
+        self.review()
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
         if self.waiting:
@@ -309,6 +334,20 @@
                 self.dial(sess)
         self.host.wake_at(now + TICK)
 
+    def review(self) -> None:
+        """What is decided for the fleet as a whole, anew each tick and at each word of the list."""
+        now = self.host.now
+        self.fleet = [s for s in self.servers.values() if s.readiness is Readiness.IN_SERVICE]
+        self.total = sum(s.size for s in self.fleet)
+        # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
+        scores = sorted(s.score(now) for s in self.fleet)
+        bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
+        bad = {s for s in self.fleet if s.score(now) > bar}
+        self.bad = bad if 2 * len(bad) < len(self.fleet) else set()
+        heard = [s for s in self.fleet if s.heard and not s.arrival]
+        size = sum(s.size for s in heard)
+        self.mean = sum(len(s.connections) for s in heard) / size if size else 0.0
+
     # ---- the server list
 
     def ask(self) -> None:
@@ -340,6 +379,7 @@
             for name, server in self.servers.items():
                 if name not in named and server.readiness is not Readiness.GONE:
                     self.leave(server, Readiness.GONE)
+        self.review()
 
     def told(self, entry: Entry, first: bool) -> None:
         now, server = self.host.now, self.servers.get(entry.name)
@@ -360,7 +400,7 @@
             server.leaving, server.distrust = None, 0.0
             self.budget.tokens.pop(server, None)
             why = "cold" if self.budget.cold(server, now) else "back"
-            self.arrive(server, why, self.mean_load() * server.size)
+            self.arrive(server, why, self.mean * server.size)
 
     def leave(self, server: Server, readiness: Readiness) -> None:
         news = server.readiness is Readiness.IN_SERVICE
@@ -368,9 +408,6 @@
         if readiness is Readiness.DRAINING and news:
             self.hand_off(server, "drain")
 
-    def open_servers(self) -> list[Server]:
-        return [s for s in self.servers.values() if s.readiness is Readiness.IN_SERVICE]
-
     # ---- latency, as the design compares it
 
     def compare(self, source: tuple[float | None, float | None],
@@ -396,16 +433,17 @@
         if source.leaving is not off:
             return
         serving = source.readiness is Readiness.IN_SERVICE
-        if serving and source.score(now) < DISTRUSTED / 2 or not source.connections:
+        mended = serving and source.score(now) < DISTRUSTED / 2 and source.load_now(now) < FULL_LOAD
+        if mended or not source.connections:
             self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
             if serving:
                 source.leaving = None
             return
         now_delay = source.delay.fresh(now)
-        receivers = [s for s in self.open_servers() if s is not source and not s.leaving]
+        receivers = [s for s in self.fleet if s is not source and not s.leaving and not s.strained(now)]
         figures = self.compare((off.delay if now_delay is None else now_delay, off.set_up), receivers)
         allowance = pace.allowance(*figures)
-        if receivers:
+        if receivers or serving:
             for sess in off.movable()[:allowance]:
                 sess.standing = False
                 source.release(sess)
@@ -426,35 +464,21 @@
             server.arrival = None
             self.host.log(f"arrival {server.name} ends: own connections {len(server.connections)}")
             return
-        others = [s for s in self.open_servers() if not s.arrival]
+        others = [s for s in self.fleet if not s.arrival]
         figures = self.compare((server.delay.fresh(now), server.set_up.fresh(now)), others)
         arrival.credit = arrival.credit or max(1, arrival.pace.allowance(figures[1], figures[0]))
         self.later(1.0, lambda: self.step_arrival(arrival))
 
     # ---- the pick
 
-    def mean_load(self) -> float:
-        """Own connections per size, over the servers heard of."""
-        heard = [s for s in self.open_servers() if s.heard and not s.arrival]
-        size = sum(s.size for s in heard)
-        return sum(len(s.connections) for s in heard) / size if size else 0.0
-
-    def weight(self, server: Server, group: Hashable, mean: float, now: float) -> float:
+    def weight(self, server: Server, group: Hashable, now: float) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
         known = server.heard or server.arrival
-        own = float(len(server.connections)) if known else mean * server.size
+        own = float(len(server.connections)) if known else self.mean * server.size
         if self.share_groups and group is not None and group not in server.groups:
             own += GROUP_COST
         return (own + 1.0) / server.size * (1.0 + server.score(now))
 
-    def distrusted(self, servers: list[Server]) -> set[Server]:
-        """Servers that stand out; where all look bad alike (a slow store, say) none does."""
-        now = self.host.now
-        scores = sorted(s.score(now) for s in servers)
-        bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
-        bad = {s for s in servers if s.score(now) > bar}
-        return bad if 2 * len(bad) < len(servers) else set()
-
     def home(self, sess: Session, servers: list[Server]) -> Server | None:
         """The remembered best: per group where groups share work. A group not met yet is remembered where
         every balancer would look first, so that its connections meet without a word between balancers."""
@@ -463,20 +487,16 @@
         known = self.memory.get(sess.group)
         if known in servers or not servers:
             return known
-        return max(servers, key=lambda s: math.log(Random(f"{sess.group} {s.name}").random()) / s.size)
+        return max(servers, key=lambda s: s.size / -math.log(draw(sess.group, s.name)))
 
     def pick(self, sess: Session) -> Server | None:
-        now, fleet = self.host.now, self.open_servers()
-        pool = [s for s in fleet if sess.may_go_to(s, now)]
+        now = self.host.now
+        pool = [s for s in self.fleet if s not in self.bad and not s.strained(now) and sess.may_go_to(s, now)]
         pool = [s for s in pool if s not in sess.tried] or pool
-        total = sum(s.size for s in fleet)
-        ready = [s for s in pool if s.arrival and s.arrival.credit > 0
-                 and (not self.budget.cold(s, now) or self.budget.grow(s, total, now) >= 1.0)]  # fmt: skip
+        arriving = [s for s in pool if s.arrival and s.arrival.credit > 0]
+        arriving = [s for s in arriving if not self.budget.cold(s, now) or self.budget.grow(s, self.total, now) >= 1]
         warm = [s for s in pool if not s.arrival]
-        bad = self.distrusted(fleet)
-        trusted = [s for s in warm if s not in bad and not s.leaving] or warm
-        mean = self.mean_load()
-        arriving = [s for s in ready if s not in bad]
+        trusted = [s for s in warm if not s.leaving] or warm
         candidates = self.rng.sample(trusted, min(2, len(trusted)))
         remembered = self.home(sess, trusted)
         if remembered is not None and remembered in trusted:
@@ -484,12 +504,12 @@
         candidates += arriving
         if not candidates:
             return None
-        best = min(candidates, key=lambda s: self.weight(s, sess.group, mean, now))
+        best = min(candidates, key=lambda s: self.weight(s, sess.group, now))
         if best.arrival:
             best.arrival.credit -= 1
             best.arrival.pace.moved += 1
             if self.budget.cold(best, now):
-                self.budget.tokens[best] = (self.budget.grow(best, total, now) - 1.0, now)
+                self.budget.tokens[best] = (self.budget.grow(best, self.total, now) - 1.0, now)
             return best
         self.memory[sess.group if self.share_groups else None] = best
         return best
@@ -549,7 +569,7 @@
         return min(left, max(sess.listener.handshake_target, 3.0 * usual))
 
     def may_redial(self, sess: Session) -> bool:
-        return any(sess.may_go_to(s, self.host.now) for s in self.open_servers())
+        return any(sess.may_go_to(s, self.host.now) for s in self.fleet)
 
     def end(self, sess: Session) -> None:
         sess.answered = True
@@ -575,11 +595,15 @@
             server.set_up.add(max(took, sess.listener.handshake_target), now)
             if end is DialEnd.TIMEOUT:
                 self.setting_up.add(took, now)
+        if end is DialEnd.FULL or sess.standing and end is DialEnd.RESET:
+            # It sheds: refilled at once it would drop them again, a storm of set-ups that ends all service.
+            server.strained_at = now
         self.blame(server, 0.3 if sess.standing else 0.5 if end is DialEnd.FULL else 1.0)
 
     def delay_told(self, server: Server, delay: float, target: float) -> None:
         server.delay.add(delay, self.host.now)
         if target and delay > target:
+            server.strained_at = self.host.now
             self.blame(server, 0.3)
 
     def blame(self, server: Server, amount: float) -> None:
@@ -590,30 +614,33 @@
         if server.score(now) >= DISTRUSTED and not server.arrival:
             # Servers that shed drop what they took and take it again: a storm of set-ups. Ease them in anew.
             self.arrive(server, f"distrust {server.score(now):.1f}", len(server.connections))
-        if server.score(now) >= 2 * DISTRUSTED and server in self.distrusted(self.open_servers()):
+        if server.score(now) >= 2 * DISTRUSTED and server in self.bad:
             # A sick server that nobody drains: the source of the same hand-off.
             self.hand_off(server, f"distrust {server.score(now):.1f}")
 
     # ---- probing
 
     def probe_round(self) -> None:
-        fleet, now = self.open_servers(), self.host.now
+        now = self.host.now
         if self.probe_price is None:
             return
         rate = min(4.0, 0.002 / max(self.probe_price, 1e-4) * self.budget.rate(now))
-        if fleet:
-            self.probe_at += 1
-            self.host.probe(fleet[self.probe_at % len(fleet)].name)
+        if self.fleet:
+            # The longest unprobed first, strained and distrusted ones sooner.
+            server = max(self.fleet, key=lambda s: (now - s.probed_at) * (1 + s.score(now) + s.strained(now)))
+            server.probed_at = now
+            self.host.probe(server.name)
         self.later(1.0 / max(rate, 0.2), self.probe_round)
 
     def probed(self, name: str, end: DialEnd, took: float, load: float | None) -> None:
-        server = self.servers.get(name)
-        if server is None:
+        server, now = self.servers.get(name), self.host.now
+        if server is None or server.readiness is not Readiness.IN_SERVICE:
             return
         if end is DialEnd.OK:
             if load is not None:
-                server.load.add(load, self.host.now)
-                if load > 1.0:
-                    self.blame(server, min(1.0, load - 1.0))
+                server.report(load, now)
+                if load >= 1.0 and not server.leaving:
+                    # More is asked of it than it can do: all its messages are late until some are moved.
+                    self.hand_off(server, f"load {load:.2f}")
         elif end is not DialEnd.FULL:
             self.blame(server, 1.0)
