--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -14,8 +14,8 @@
 3. cold budget: this balancer's own share of what all together may send to a cold server.
 4. list watch: asking for the server list again after a failure, before silence counts as told.
 5. probing: a few probes a second, as the price allows, for the load servers report.
-6. overload refusal: sessions that no server may take now wait, those of most utility and within their
-   customer's share first, and are refused when half their dial timeout is over.
+6. overload refusal: no server is filled past its load; what none may take waits, by utility and customer
+   share, and is refused when half its dial timeout is over.
 """
 
 from __future__ import annotations
@@ -77,16 +77,13 @@
     BASE = (0.05, 0.10, 0.15, 0.20)
 
     def __init__(self, count: int) -> None:
-        self.count, self.moved, self.carry = count, 0, 0.0
-
-    @property
-    def stage(self) -> int:
-        return min(3, 4 * self.moved // self.count) if self.count else 3
+        self.count, self.moved, self.carry, self.credit = count, 0, 0.0, 0
 
     def allowance(self, source: float | None, receiver: float | None) -> int:
-        rate = float(math.ceil(self.BASE[self.stage] * self.count))
+        stage = min(3, 4 * self.moved // max(1, self.count))
+        rate = float(math.ceil(self.BASE[stage] * self.count))
         if source is not None and receiver is not None:
-            if self.stage < 3 and receiver >= 2 * source:
+            if stage < 3 and receiver >= 2 * source:
                 rate /= 4 if receiver >= 3 * source else 2
             if source > receiver:
                 rate *= 2
@@ -101,14 +98,14 @@
         self.name = entry.name
         self.learn(entry)
         self.connections: dict[Session, None] = {}  # dials out and connections open, in order of placing
-        self.groups: dict[Hashable, int] = {}
+        self.groups: Counter[Hashable] = Counter()
         self.heard = False  # whether this balancer has had a connection there
         self.distrust, self.distrust_at = 0.0, 0.0
         self.delay, self.set_up = Figure(), Figure()
         self.load, self.load_at, self.load_count = 0.0, -math.inf, 0
         self.probed_at = -1.0
         self.strained_at = -math.inf  # last word of overload: it shed, was full, or its messages came late
-        self.arrival: Arrival | None = None
+        self.arrival: Pace | None = None  # cold or back: new placements at the staged pace, to a fair share
         self.leaving: HandOff | None = None
 
     def load_now(self, now: float) -> float:
@@ -116,9 +113,6 @@
         known = now - self.load_at < LOAD_KEPT
         return self.load * (len(self.connections) + 1) / (self.load_count + 1) if known else 0.0
 
-    def report(self, load: float, now: float) -> None:
-        self.load, self.load_at, self.load_count = load, now, len(self.connections)
-
     def strained(self, now: float) -> bool:
         return now - self.strained_at < STRAIN_FOR or self.load_now(now) >= FULL_LOAD
 
@@ -130,22 +124,17 @@
         return self.distrust * math.exp((self.distrust_at - now) / FADE)
 
     def blame(self, amount: float, now: float) -> None:
-        self.distrust, self.distrust_at = max(0.0, self.score(now) + amount), now
+        self.distrust, self.distrust_at = self.score(now) + amount, now
 
     def hold(self, sess: Session) -> None:
-        self.connections[sess] = None
-        self.heard = True
-        if sess.group is not None:
-            self.groups[sess.group] = self.groups.get(sess.group, 0) + 1
+        self.connections[sess], self.heard = None, True
+        self.groups[sess.group] += 1
 
     def release(self, sess: Session) -> None:
         if sess not in self.connections:
             return
         del self.connections[sess]
-        if sess.group is not None:
-            self.groups[sess.group] -= 1
-            if not self.groups[sess.group]:
-                del self.groups[sess.group]
+        self.groups[sess.group] -= 1
         if self.leaving:
             self.leaving.pace.moved += 1
 
@@ -159,26 +148,32 @@
         self.group, self.give_up, self.load = group, give_up, load
         self.server: Server | None = None
         self.tried: list[Server] = []
-        self.dials, self.dialling, self.standing = 0, False, False
-        self.answered = self.placed = False
-        self.hold_until = 0.0
-        self.news_at = -math.inf
-        self.may_run_at: Server | None = None  # the first server on which this session may have run
-        self.may_run_since = 0.0
+        self.dials, self.dialling, self.standing, self.answered, self.placed = 0, False, False, False, False
+        self.hold_until, self.news_at = (balancer.host.now + give_up) / 2, -math.inf
+        self.may_run_at: Server | None = None  # the first server on which this session may have run,
+        self.may_run_since = 0.0  # and when it was dialled
 
     def accepted(self, took: float) -> None:
         """The connection stands; it lasts until its dial ends."""
-        if self.server is None or self.answered:
+        server, now = self.server, self.balancer.host.now
+        if server is None or self.answered:
             return
         self.standing = self.answered = True
-        self.balancer.dial_worked(self, took)
+        server.set_up.add(took, now)
+        self.balancer.setting_up.add(took, now)
+        server.blame(-0.3 * server.score(now), now)
 
     def load_news(self, load: float) -> None:
         self.load, self.news_at = load, self.balancer.host.now
 
     def delay_news(self, delay: float) -> None:
-        if self.server is not None:
-            self.balancer.delay_told(self.server, delay, self.listener.message_target)
+        server, now = self.server, self.balancer.host.now
+        if server is None:
+            return
+        server.delay.add(delay, now)
+        if 0 < self.listener.message_target < delay:
+            server.strained_at = now
+            self.balancer.blame(server, 0.3)
 
     def client_gone(self) -> None:
         """Nothing is owed any more; a dial still out is called back where that is allowed."""
@@ -192,7 +187,7 @@
         server, self.dialling = self.server, False
         server.release(self)
         if load is not None:
-            server.report(load, self.balancer.host.now)
+            self.balancer.load_told(server, load)
         self.balancer.dial_judged(self, server, end, took)
         stood, self.standing = self.standing, False
         if not end.never_ran and not stood and self.may_run_at is None:
@@ -244,7 +239,9 @@
         return server.started is not None and now - server.started < self.time
 
     def grow(self, server: Server, fleet_size: float, now: float) -> float:
-        """How many sessions may go to this cold server now."""
+        """How many sessions may go to this server now: one or more is no bar."""
+        if not self.cold(server, now):
+            return 1.0
         level, at = self.tokens.get(server, (self.phase, now))
         warmth = self.share + (1.0 - self.share) * max(0.0, now - (server.started or 0.0)) / self.time
         rate = self.rate(now) * server.size / max(fleet_size, server.size) * min(1.0, warmth)
@@ -253,13 +250,6 @@
         return level
 
 
-class Arrival:
-    """A cold joiner or returner: new placements at the staged pace, until its fair share is reached."""
-
-    def __init__(self, server: Server, share: int) -> None:
-        self.server, self.pace, self.credit = server, Pace(max(1, share)), 0
-
-
 class HandOff:
     """Moves this balancer's own connections off one source in four stages."""
 
@@ -268,20 +258,9 @@
         self.delay, self.set_up = source.delay.fresh(now), source.set_up.fresh(now)  # before the notice
 
     def movable(self) -> list[Session]:
-        """Idle first, read as little load and no recent word of it."""
+        """Those this balancer placed; idle first, read as little load and no recent word of it."""
         own = [s for s in self.source.connections if s.standing and s.placed]
-        return sorted(own, key=lambda s: (s.load if s.load is not None else math.inf, s.news_at))
-
-
-class ListWatch:
-    """Keeps the subscription; after a failure asks again with spread, growing waits, well within the time
-    after which silence counts as told."""
-
-    def __init__(self, within: float, rng: Random) -> None:
-        self.within, self.rng, self.failures, self.asked, self.lost = within, rng, 0, -math.inf, True
-
-    def wait(self) -> float:
-        return min(self.within / 4, math.ldexp(0.25, self.failures)) * self.rng.uniform(0.5, 1.0)
+        return sorted(own, key=lambda s: (math.inf if s.load is None else s.load, s.news_at))
 
 
 class Balancer:
@@ -292,17 +271,16 @@
         self.servers: dict[str, Server] = {}
         self.memory: dict[Hashable, Server] = {}
         self.due: list[tuple[float, int, Callable[[], None]]] = []
-        self.counter = 0
-        self.waiting: list[Session] = []
+        self.counter, self.waiting = 0, list[Session]()
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
-        self.setting_up = Figure()
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
-        self.retry_after, self.share_groups = settings.retry_after, settings.groups
+        self.retry_after, self.share_groups, self.setting_up = settings.retry_after, settings.groups, Figure()
         self.budget = ColdBudget(settings.cold_share, settings.cold_time, settings.fall_multiple,
                                  settings.me / settings.balancers, host.now)  # fmt: skip
-        self.list_watch = ListWatch(settings.ask_within, self.rng) if settings.watched else None
+        self.watched, self.ask_within = settings.watched, settings.ask_within
+        self.list_lost, self.list_failures, self.list_asked = True, 0, -math.inf
         self.probe_price = settings.probe_price if settings.probes else None
-        if self.list_watch:
+        if self.watched:
             self.later(self.rng.uniform(0.0, 0.2), self.ask)
         self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
@@ -351,46 +329,39 @@
     # ---- the server list
 
     def ask(self) -> None:
-        watch = self.list_watch
-        if watch and watch.lost and self.host.now - watch.asked > watch.within / 4:
-            watch.asked = self.host.now
+        if self.list_lost and self.host.now - self.list_asked > self.ask_within / 4:
+            self.list_asked = self.host.now
             self.host.watch()
-            self.later(watch.within / 2, self.ask)  # no word at all counts as a failure
+            self.later(self.ask_within / 2, self.ask)  # no word at all counts as a failure
 
     def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
-        watch = self.list_watch
         if kind is ListKind.FAILED:
-            if watch:
-                watch.lost, watch.failures, watch.asked = True, watch.failures + 1, -math.inf
-                wait = watch.wait()
-                self.host.log(f"list lost: failures {watch.failures}, asking again in {wait:.2f} s")
-                self.later(wait, self.ask)
+            self.list_lost, self.list_failures, self.list_asked = True, self.list_failures + 1, -math.inf
+            # All balancers lose the list at once: spread, growing waits keep them from drowning it.
+            wait = self.rng.uniform(0.5, 1.0) * min(self.ask_within / 4, 0.25 * 2 ** min(9, self.list_failures))
+            self.host.log(f"list lost: failures {self.list_failures}, asking again in {wait:.2f} s")
+            self.later(wait, self.ask)
             return
-        if watch and kind is not ListKind.CACHED:
-            if watch.lost:
-                self.host.log(f"list watched: failures before {watch.failures}")
-            watch.lost, watch.failures = False, 0
-        first = not self.servers
-        named = set()
+        if kind is not ListKind.CACHED:
+            if self.list_lost:
+                self.host.log(f"list watched: failures before {self.list_failures}")
+            self.list_lost, self.list_failures = False, 0
+        first, absent = not self.servers, set(self.servers) if kind is not ListKind.CHANGES else set()
         for entry in entries:
-            named.add(entry.name)
+            absent.discard(entry.name)
             self.told(entry, first)
-        if kind is not ListKind.CHANGES:
-            for name, server in self.servers.items():
-                if name not in named and server.readiness is not Readiness.GONE:
-                    self.leave(server, Readiness.GONE)
+        for name in sorted(absent):
+            self.leave(self.servers[name], Readiness.GONE)
         self.review()
 
     def told(self, entry: Entry, first: bool) -> None:
         now, server = self.host.now, self.servers.get(entry.name)
-        if server is None:
-            if entry.readiness is Readiness.GONE:
-                return
-            server = self.servers[entry.name] = Server(entry)
-            joined = not first
-        else:
-            joined = server.readiness is not Readiness.IN_SERVICE
-        restarted = entry.started is not None and entry.started != server.started
+        if server is None and entry.readiness is Readiness.GONE:
+            return
+        before = server.started if server else None
+        joined = server.readiness is not Readiness.IN_SERVICE if server else not first
+        server = server or self.servers.setdefault(entry.name, Server(entry))
+        restarted = entry.started is not None and entry.started != before
         if entry.readiness is not Readiness.IN_SERVICE:
             self.leave(server, entry.readiness)
             return
@@ -414,9 +385,9 @@
                 receivers: list[Server]) -> tuple[float | None, float | None]:  # fmt: skip
         """Source and receivers by message delay where both sides report one, else by set-up time."""
         now = self.host.now
-        for place, kind in enumerate(("delay", "set_up")):
-            figures = [f for r in receivers if (f := getattr(r, kind).fresh(now)) is not None]
-            mine = source[place]
+        delays, set_ups = [r.delay.fresh(now) for r in receivers], [r.set_up.fresh(now) for r in receivers]
+        for mine, theirs in zip(source, (delays, set_ups), strict=True):
+            figures = [figure for figure in theirs if figure is not None]
             if mine is not None and figures:
                 return mine, sum(figures) / len(figures)
         return None, None
@@ -424,6 +395,8 @@
     # ---- staged pace
 
     def hand_off(self, source: Server, why: str) -> None:
+        if source.leaving and source.readiness is Readiness.IN_SERVICE:
+            return
         source.leaving = HandOff(source, self.host.now)
         self.host.log(f"hand-off {source.name}: {why}, own connections {source.leaving.pace.count}")
         self.step_hand_off(source.leaving)
@@ -439,43 +412,39 @@
             if serving:
                 source.leaving = None
             return
-        now_delay = source.delay.fresh(now)
+        delay = source.delay.fresh(now)
         receivers = [s for s in self.fleet if s is not source and not s.leaving and not s.strained(now)]
-        figures = self.compare((off.delay if now_delay is None else now_delay, off.set_up), receivers)
-        allowance = pace.allowance(*figures)
-        if receivers or serving:
-            for sess in off.movable()[:allowance]:
-                sess.standing = False
-                source.release(sess)
-                self.host.move(sess.token)
+        figures = self.compare((off.delay if delay is None else delay, off.set_up), receivers)
+        for sess in off.movable()[:pace.allowance(*figures)]:
+            sess.standing = False
+            source.release(sess)
+            self.host.move(sess.token)
         self.later(1.0, lambda: self.step_hand_off(off))
 
     def arrive(self, server: Server, why: str, share: float) -> None:
-        server.arrival = Arrival(server, round(share))
+        server.arrival = Pace(max(1, round(share)))
         self.host.log(f"arrival {server.name}: {why}, size {server.size:g}, share {share:.1f}")
-        self.step_arrival(server.arrival)
+        self.step_arrival(server, server.arrival)
 
-    def step_arrival(self, arrival: Arrival) -> None:
-        server, now = arrival.server, self.host.now
-        if server.arrival is not arrival:
+    def step_arrival(self, server: Server, pace: Pace) -> None:
+        now = self.host.now
+        if server.arrival is not pace:
             return
-        eased = arrival.pace.moved >= arrival.pace.count and server.score(now) < DISTRUSTED
-        if eased and not self.budget.cold(server, now):
+        if pace.moved >= pace.count and not self.budget.cold(server, now):
             server.arrival = None
             self.host.log(f"arrival {server.name} ends: own connections {len(server.connections)}")
             return
         others = [s for s in self.fleet if not s.arrival]
         figures = self.compare((server.delay.fresh(now), server.set_up.fresh(now)), others)
-        arrival.credit = arrival.credit or max(1, arrival.pace.allowance(figures[1], figures[0]))
-        self.later(1.0, lambda: self.step_arrival(arrival))
+        pace.credit = pace.credit or max(1, pace.allowance(figures[1], figures[0]))
+        self.later(1.0, lambda: self.step_arrival(server, pace))
 
     # ---- the pick
 
     def weight(self, server: Server, group: Hashable, now: float) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
-        known = server.heard or server.arrival
-        own = float(len(server.connections)) if known else self.mean * server.size
-        if self.share_groups and group is not None and group not in server.groups:
+        own = len(server.connections) if server.heard or server.arrival else self.mean * server.size
+        if self.share_groups and group is not None and not server.groups[group]:
             own += GROUP_COST
         return (own + 1.0) / server.size * (1.0 + server.score(now))
 
@@ -493,44 +462,38 @@
         now = self.host.now
         pool = [s for s in self.fleet if s not in self.bad and not s.strained(now) and sess.may_go_to(s, now)]
         pool = [s for s in pool if s not in sess.tried] or pool
-        arriving = [s for s in pool if s.arrival and s.arrival.credit > 0]
-        arriving = [s for s in arriving if not self.budget.cold(s, now) or self.budget.grow(s, self.total, now) >= 1]
-        warm = [s for s in pool if not s.arrival]
-        trusted = [s for s in warm if not s.leaving] or warm
+        arriving = [s for s in pool if s.arrival and s.arrival.credit
+                    and self.budget.grow(s, self.total, now) >= 1]  # fmt: skip
+        trusted = [s for s in pool if not s.arrival and not s.leaving]
         candidates = self.rng.sample(trusted, min(2, len(trusted)))
         remembered = self.home(sess, trusted)
         if remembered is not None and remembered in trusted:
             candidates.insert(0, remembered)
-        candidates += arriving
-        if not candidates:
+        if not candidates and not arriving:
             return None
-        best = min(candidates, key=lambda s: self.weight(s, sess.group, now))
+        best = min(candidates + arriving, key=lambda s: self.weight(s, sess.group, now))
         if best.arrival:
             best.arrival.credit -= 1
-            best.arrival.pace.moved += 1
-            if self.budget.cold(best, now):
-                self.budget.tokens[best] = (self.budget.grow(best, self.total, now) - 1.0, now)
-            return best
-        self.memory[sess.group if self.share_groups else None] = best
+            best.arrival.moved += 1
+            self.budget.tokens[best] = (self.budget.grow(best, self.total, now) - 1.0, now)
+        else:
+            self.memory[sess.group if self.share_groups else None] = best
         return best
 
     # ---- sessions
 
     def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
              time_left: float, load: float | None, came_back: bool) -> Session:  # fmt: skip
-        now = self.host.now
-        sess = Session(self, token, listener, customer, group, now + time_left, load)
-        sess.hold_until = now + time_left / 2
+        sess = Session(self, token, listener, customer, group, self.host.now + time_left, load)
         if not came_back:
-            self.budget.arrived(now)
+            self.budget.arrived(self.host.now)
         self.dial(sess)
         return sess
 
     def adopt(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
               load: float | None, name: str) -> Session | None:  # fmt: skip
         """A connection that stood before this balancer started: counted, but never moved by it."""
-        server = self.servers.get(name)
-        if server is None:
+        if (server := self.servers.get(name)) is None:
             return None
         sess = Session(self, token, listener, customer, group, math.inf, load)
         sess.server, sess.dialling, sess.standing, sess.answered = server, True, True, True
@@ -541,14 +504,12 @@
         if sess.answered or sess.dialling:
             return
         now, left = self.host.now, sess.give_up - self.host.now
-        if left <= 0 or sess.dials >= self.most_dials or sess.dials and not self.may_redial(sess):
-            self.end(sess)
-            return
-        server = self.pick(sess)
+        spent = left <= 0 or sess.dials >= self.most_dials
+        spent = spent or sess.dials > 0 and not any(sess.may_go_to(s, now) for s in self.fleet)
+        server = None if spent else self.pick(sess)
         if server is None:
-            # Nothing may be sent anywhere (all cold or strained, or the list empty): hold a while.
-            if now < sess.hold_until:
-                self.waiting.append(sess)
+            if not spent and now < sess.hold_until:
+                self.waiting.append(sess)  # all servers are cold or strained, or the list is empty
             else:
                 self.end(sess)
             return
@@ -568,9 +529,6 @@
         usual = self.setting_up.fresh(self.host.now) or 0.0
         return min(left, max(sess.listener.handshake_target, 3.0 * usual))
 
-    def may_redial(self, sess: Session) -> bool:
-        return any(sess.may_go_to(s, self.host.now) for s in self.fleet)
-
     def end(self, sess: Session) -> None:
         sess.answered = True
         if sess.may_refuse():
@@ -580,16 +538,15 @@
 
     # ---- what is learnt
 
-    def dial_worked(self, sess: Session, took: float) -> None:
-        now, server = self.host.now, sess.server
-        if server is not None:
-            server.set_up.add(took, now)
-            self.setting_up.add(took, now)
-            server.blame(-0.3 * server.score(now), now)
+    def load_told(self, server: Server, load: float) -> None:
+        server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
+        if load >= 1.0 and server.readiness is Readiness.IN_SERVICE:
+            # More is asked of it than it can do: all its messages are late until some are moved.
+            self.hand_off(server, f"load {load:.2f}")
 
     def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
         now = self.host.now
-        if end is DialEnd.OK or end in (DialEnd.CANCELLED, DialEnd.NOT_SENT):
+        if end in (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT):
             return
         if not sess.standing:
             server.set_up.add(max(took, sess.listener.handshake_target), now)
@@ -600,21 +557,10 @@
             server.strained_at = now
         self.blame(server, 0.3 if sess.standing else 0.5 if end is DialEnd.FULL else 1.0)
 
-    def delay_told(self, server: Server, delay: float, target: float) -> None:
-        server.delay.add(delay, self.host.now)
-        if target and delay > target:
-            server.strained_at = self.host.now
-            self.blame(server, 0.3)
-
     def blame(self, server: Server, amount: float) -> None:
         now = self.host.now
         server.blame(amount, now)
-        if server.leaving or server.readiness is not Readiness.IN_SERVICE:
-            return
-        if server.score(now) >= DISTRUSTED and not server.arrival:
-            # Servers that shed drop what they took and take it again: a storm of set-ups. Ease them in anew.
-            self.arrive(server, f"distrust {server.score(now):.1f}", len(server.connections))
-        if server.score(now) >= 2 * DISTRUSTED and server in self.bad:
+        if server.score(now) >= 2 * DISTRUSTED and server in self.bad and server in self.fleet:
             # A sick server that nobody drains: the source of the same hand-off.
             self.hand_off(server, f"distrust {server.score(now):.1f}")
 
@@ -633,14 +579,10 @@
         self.later(1.0 / max(rate, 0.2), self.probe_round)
 
     def probed(self, name: str, end: DialEnd, took: float, load: float | None) -> None:
-        server, now = self.servers.get(name), self.host.now
+        server = self.servers.get(name)
         if server is None or server.readiness is not Readiness.IN_SERVICE:
             return
-        if end is DialEnd.OK:
-            if load is not None:
-                server.report(load, now)
-                if load >= 1.0 and not server.leaving:
-                    # More is asked of it than it can do: all its messages are late until some are moved.
-                    self.hand_off(server, f"load {load:.2f}")
-        elif end is not DialEnd.FULL:
+        if end is DialEnd.OK and load is not None:
+            self.load_told(server, load)
+        elif end not in (DialEnd.OK, DialEnd.FULL):
             self.blame(server, 1.0)
