--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -219,7 +219,7 @@
     the share of its capacity a cold server has by now, times the stated multiple; starts are staggered by
     the balancer's own number, so that the whole placements of all balancers do not fall together."""
 
-    MARGIN = 0.7  # chance, heavy sessions
+    MARGIN = 3.0  # chance, heavy sessions
     MEMORY = 20.0  # seconds over which the rate of new sessions is averaged
 
     def __init__(self, share: float, time: float, multiple: float, phase: float, now: float) -> None:
