Cold budget from what fills a warm server over the warm-up

Cause: the budget was taken from arrivals; successors in a rolling deploy stayed at a load of 0.2 while others refused.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -167,13 +167,11 @@
         self.load, self.news_at = load, self.balancer.host.now
 
     def delay_news(self, delay: float) -> None:
-        server, now = self.server, self.balancer.host.now
-        if server is None:
-            return
-        server.delay.add(delay, now)
-        if 0 < self.listener.message_target < delay:
-            server.strained_at = now
-            self.balancer.blame(server, 0.3)
+        if server := self.server:
+            server.delay.add(delay, self.balancer.host.now)
+            if 0 < self.listener.message_target < delay:
+                server.strained_at = self.balancer.host.now
+                self.balancer.blame(server, 0.3)
 
     def client_gone(self) -> None:
         """Nothing is owed any more; a dial still out is called back where that is allowed."""
@@ -215,11 +213,10 @@
 
 
 class ColdBudget:
-    """Rule 4. Own share of the fleet's budget: what warm servers of like size take from this balancer, times
-    the share of its capacity a cold server has by now, times the stated multiple; starts are staggered by
-    the balancer's own number, so that the whole placements of all balancers do not fall together."""
+    """Rule 4. Own share of the fleet's budget: what fills a warm server of like size with this balancer's
+    connections over the warm-up, times the share of its capacity a cold one has by now, times the stated
+    multiple; starts are staggered by the balancer's number, so that whole placements don't fall together."""
 
-    MARGIN = 3.0  # chance, heavy sessions
     MEMORY = 20.0  # seconds over which the rate of new sessions is averaged
 
     def __init__(self, share: float, time: float, multiple: float, phase: float, now: float) -> None:
@@ -238,14 +235,14 @@
     def cold(self, server: Server, now: float) -> bool:
         return server.started is not None and now - server.started < self.time
 
-    def grow(self, server: Server, fleet_size: float, now: float) -> float:
+    def grow(self, server: Server, fill: float, now: float) -> float:
         """How many sessions may go to this server now: one or more is no bar."""
         if not self.cold(server, now):
             return 1.0
         level, at = self.tokens.get(server, (self.phase, now))
         warmth = self.share + (1.0 - self.share) * max(0.0, now - (server.started or 0.0)) / self.time
-        rate = self.rate(now) * server.size / max(fleet_size, server.size) * min(1.0, warmth)
-        level = min(1.0, level + (now - at) * rate * self.multiple * self.MARGIN)
+        rate = fill * server.size / self.time * min(1.0, warmth)
+        level = min(1.0, level + (now - at) * rate * self.multiple)
         self.tokens[server] = (level, now)
         return level
 
@@ -316,7 +313,6 @@
         """What is decided for the fleet as a whole, anew each tick and at each word of the list."""
         now = self.host.now
         self.fleet = [s for s in self.servers.values() if s.readiness is Readiness.IN_SERVICE]
-        self.total = sum(s.size for s in self.fleet)
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
         scores = sorted(s.score(now) for s in self.fleet)
         bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
@@ -325,6 +321,10 @@
         heard = [s for s in self.fleet if s.heard and not s.arrival]
         size = sum(s.size for s in heard)
         self.mean = sum(len(s.connections) for s in heard) / size if size else 0.0
+        # Own connections per size that fill a server; lacking reports, what new ones it gets over a warm-up.
+        known = [(s, load) for s in heard if (load := s.load_now(now)) > 0.1]
+        own = sum(len(s.connections) for s, _ in known) or self.budget.rate(now) * self.budget.time
+        self.fill = own / max(1.0, sum(s.size * load for s, load in known) or sum(s.size for s in self.fleet))
 
     # ---- the server list
 
@@ -338,7 +338,8 @@
         if kind is ListKind.FAILED:
             self.list_lost, self.list_failures, self.list_asked = True, self.list_failures + 1, -math.inf
             # All balancers lose the list at once: spread, growing waits keep them from drowning it.
-            wait = self.rng.uniform(0.5, 1.0) * min(self.ask_within / 4, 0.25 * 2 ** min(9, self.list_failures))
+            longest = min(self.ask_within / 4, 0.25 * 2 ** min(9, self.list_failures))
+            wait = longest * self.rng.uniform(0.5, 1.0)
             self.host.log(f"list lost: failures {self.list_failures}, asking again in {wait:.2f} s")
             self.later(wait, self.ask)
             return
@@ -463,11 +464,10 @@
         pool = [s for s in self.fleet if s not in self.bad and not s.strained(now) and sess.may_go_to(s, now)]
         pool = [s for s in pool if s not in sess.tried] or pool
         arriving = [s for s in pool if s.arrival and s.arrival.credit
-                    and self.budget.grow(s, self.total, now) >= 1]  # fmt: skip
+                    and self.budget.grow(s, self.fill, now) >= 1]  # fmt: skip
         trusted = [s for s in pool if not s.arrival and not s.leaving]
         candidates = self.rng.sample(trusted, min(2, len(trusted)))
-        remembered = self.home(sess, trusted)
-        if remembered is not None and remembered in trusted:
+        if (remembered := self.home(sess, trusted)) in trusted:
             candidates.insert(0, remembered)
         if not candidates and not arriving:
             return None
@@ -475,7 +475,7 @@
         if best.arrival:
             best.arrival.credit -= 1
             best.arrival.moved += 1
-            self.budget.tokens[best] = (self.budget.grow(best, self.total, now) - 1.0, now)
+            self.budget.tokens[best] = (self.budget.grow(best, self.fill, now) - 1.0, now)
         else:
             self.memory[sess.group if self.share_groups else None] = best
         return best
