--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -108,13 +108,13 @@
         self.arrival: Pace | None = None  # cold or back: new placements at the staged pace, to a fair share
         self.leaving: HandOff | None = None
 
-    def load_now(self, now: float) -> float:
+    def load_now(self, now: float, fill: float) -> float:
         """The load last reported, carried on by own connections since; 0 if none is known."""
         known = now - self.load_at < LOAD_KEPT
-        return self.load * (len(self.connections) + 1) / (self.load_count + 1) if known else 0.0
+        return self.load + (len(self.connections) - self.load_count) / (fill * self.size) if known else 0.0
 
-    def strained(self, now: float) -> bool:
-        return now - self.strained_at < STRAIN_FOR or self.load_now(now) >= FULL_LOAD
+    def strained(self, now: float, fill: float) -> bool:
+        return now - self.strained_at < STRAIN_FOR or self.load_now(now, fill) >= FULL_LOAD
 
     def learn(self, entry: Entry) -> None:
         self.readiness, self.started = Readiness.IN_SERVICE, entry.started
@@ -322,9 +322,10 @@
         size = sum(s.size for s in heard)
         self.mean = sum(len(s.connections) for s in heard) / size if size else 0.0
         # Own connections per size that fill a server; lacking reports, what new ones it gets over a warm-up.
-        known = [(s, load) for s in heard if (load := s.load_now(now)) > 0.1]
-        own = sum(len(s.connections) for s, _ in known) or self.budget.rate(now) * self.budget.time
-        self.fill = own / max(1.0, sum(s.size * load for s, load in known) or sum(s.size for s in self.fleet))
+        known = [s for s in heard if s.load > 0.1 and now - s.load_at < LOAD_KEPT]
+        own = sum(s.load_count for s in known) or self.budget.rate(now) * self.budget.time
+        size = sum(s.size * s.load for s in known) or sum(s.size for s in self.fleet)
+        self.fill = max(own, 1.0) / max(size, 1.0)
 
     # ---- the server list
 
@@ -407,14 +408,14 @@
         if source.leaving is not off:
             return
         serving = source.readiness is Readiness.IN_SERVICE
-        mended = serving and source.score(now) < DISTRUSTED / 2 and source.load_now(now) < FULL_LOAD
+        mended = serving and source.score(now) < DISTRUSTED / 2 and source.load_now(now, self.fill) < FULL_LOAD
         if mended or not source.connections:
             self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
             if serving:
                 source.leaving = None
             return
         delay = source.delay.fresh(now)
-        receivers = [s for s in self.fleet if s is not source and not s.leaving and not s.strained(now)]
+        receivers = [s for s in self.fleet if s is not source and not s.leaving and not s.strained(now, self.fill)]
         figures = self.compare((off.delay if delay is None else delay, off.set_up), receivers)
         for sess in off.movable()[:pace.allowance(*figures)]:
             sess.standing = False
@@ -461,7 +462,7 @@
 
     def pick(self, sess: Session) -> Server | None:
         now = self.host.now
-        pool = [s for s in self.fleet if s not in self.bad and not s.strained(now) and sess.may_go_to(s, now)]
+        pool = [s for s in self.fleet if s not in self.bad and not s.strained(now, self.fill) and sess.may_go_to(s, now)]
         pool = [s for s in pool if s not in sess.tried] or pool
         arriving = [s for s in pool if s.arrival and s.arrival.credit
                     and self.budget.grow(s, self.fill, now) >= 1]  # fmt: skip
@@ -573,7 +574,7 @@
         rate = min(4.0, 0.002 / max(self.probe_price, 1e-4) * self.budget.rate(now))
         if self.fleet:
             # The longest unprobed first, strained and distrusted ones sooner.
-            server = max(self.fleet, key=lambda s: (now - s.probed_at) * (1 + s.score(now) + s.strained(now)))
+            server = max(self.fleet, key=lambda s: (now - s.probed_at) * (1 + s.score(now) + s.strained(now, self.fill)))
             server.probed_at = now
             self.host.probe(server.name)
         self.later(1.0 / max(rate, 0.2), self.probe_round)
