--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -47,8 +47,9 @@
 DISTRUSTED = 2.0  # above this, and above twice the fleet's median, a server gets nothing if others can
 STRAIN_FOR = 1.5  # seconds for which word of overload keeps new sessions off a server
 FULL_LOAD = 0.85  # reported load over capacity from which a server is strained
-LOAD_KEPT = 10.0  # seconds for which a reported load is carried on
-GROUP_COST = 8.0  # connections that a group new to a server counts for
+LOAD_KEPT = 8.0  # seconds for which a reported load is carried on
+PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
+GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
 
 
 def draw(*names: Hashable) -> float:
@@ -108,14 +109,6 @@
         self.arrival: Pace | None = None  # cold or back: new placements at the staged pace, to a fair share
         self.leaving: HandOff | None = None
 
-    def load_now(self, now: float, fill: float) -> float:
-        """The load last reported, carried on by own connections since; 0 if none is known."""
-        known = now - self.load_at < LOAD_KEPT
-        return self.load + (len(self.connections) - self.load_count) / (fill * self.size) if known else 0.0
-
-    def strained(self, now: float, fill: float) -> bool:
-        return now - self.strained_at < STRAIN_FOR or self.load_now(now, fill) >= FULL_LOAD
-
     def learn(self, entry: Entry) -> None:
         self.readiness, self.started = Readiness.IN_SERVICE, entry.started
         self.size, self.zone, self.cell = entry.size, entry.zone, entry.cell
@@ -280,6 +273,7 @@
         if self.watched:
             self.later(self.rng.uniform(0.0, 0.2), self.ask)
         self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
+        self.fill = 1.0
         self.review()
         host.wake_at(host.now + TICK)
 
@@ -381,6 +375,15 @@
         if readiness is Readiness.DRAINING and news:
             self.hand_off(server, "drain")
 
+    def load_of(self, server: Server) -> float:
+        """The load last reported, carried on by own connections since; 0 if none is known."""
+        if self.host.now - server.load_at >= LOAD_KEPT:
+            return 0.0
+        return server.load + (len(server.connections) - server.load_count) / (self.fill * server.size)
+
+    def strained(self, server: Server) -> bool:
+        return self.host.now - server.strained_at < STRAIN_FOR or self.load_of(server) >= FULL_LOAD
+
     # ---- latency, as the design compares it
 
     def compare(self, source: tuple[float | None, float | None],
@@ -408,14 +411,14 @@
         if source.leaving is not off:
             return
         serving = source.readiness is Readiness.IN_SERVICE
-        mended = serving and source.score(now) < DISTRUSTED / 2 and source.load_now(now, self.fill) < FULL_LOAD
+        mended = serving and source.score(now) < DISTRUSTED / 2 and self.load_of(source) < FULL_LOAD
         if mended or not source.connections:
             self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
             if serving:
                 source.leaving = None
             return
         delay = source.delay.fresh(now)
-        receivers = [s for s in self.fleet if s is not source and not s.leaving and not s.strained(now, self.fill)]
+        receivers = [s for s in self.fleet if s is not source and not s.leaving and not self.strained(s)]
         figures = self.compare((off.delay if delay is None else delay, off.set_up), receivers)
         for sess in off.movable()[:pace.allowance(*figures)]:
             sess.standing = False
@@ -447,7 +450,7 @@
         """Own connections per size, a group new there counted in, raised by distrust."""
         own = len(server.connections) if server.heard or server.arrival else self.mean * server.size
         if self.share_groups and group is not None and not server.groups[group]:
-            own += GROUP_COST
+            own += GROUP_COST * self.fill * server.size
         return (own + 1.0) / server.size * (1.0 + server.score(now))
 
     def home(self, sess: Session, servers: list[Server]) -> Server | None:
@@ -462,7 +465,8 @@
 
     def pick(self, sess: Session) -> Server | None:
         now = self.host.now
-        pool = [s for s in self.fleet if s not in self.bad and not s.strained(now, self.fill) and sess.may_go_to(s, now)]
+        pool = [s for s in self.fleet if s not in self.bad and sess.may_go_to(s, now)]
+        pool = [s for s in pool if not self.strained(s)]
         pool = [s for s in pool if s not in sess.tried] or pool
         arriving = [s for s in pool if s.arrival and s.arrival.credit
                     and self.budget.grow(s, self.fill, now) >= 1]  # fmt: skip
@@ -571,13 +575,16 @@
         now = self.host.now
         if self.probe_price is None:
             return
-        rate = min(4.0, 0.002 / max(self.probe_price, 1e-4) * self.budget.rate(now))
+        rate = PROBE_POINTS / max(self.probe_price, 1e-4) * self.budget.rate(now)
+        if any(now - s.strained_at < LOAD_KEPT for s in self.fleet):
+            # In trouble reports are worth their price: with many servers the calm rate leaves most unknown.
+            rate = max(rate, len(self.fleet) / 2.0)
         if self.fleet:
-            # The longest unprobed first, strained and distrusted ones sooner.
-            server = max(self.fleet, key=lambda s: (now - s.probed_at) * (1 + s.score(now) + s.strained(now, self.fill)))
+            # The longest unprobed first, distrusted ones sooner.
+            server = max(self.fleet, key=lambda s: (now - s.probed_at) * (1.0 + s.score(now)))
             server.probed_at = now
             self.host.probe(server.name)
-        self.later(1.0 / max(rate, 0.2), self.probe_round)
+        self.later(1.0 / min(1.0 / TICK, max(rate, 0.2)), self.probe_round)
 
     def probed(self, name: str, end: DialEnd, took: float, load: float | None) -> None:
         server = self.servers.get(name)
