--- a/onyxhollow/benchlink/link.py
+++ b/onyxhollow/benchlink/link.py
@@ -33,7 +33,7 @@
     "terminated": Readiness.GONE,
 }
 NOTE_LOAD, NOTE_DELAY = 1, 2
-COST_KNOWN, CAME_BACK = 1, 16
+COST_KNOWN = 1
 
 
 def whole(value: Any, what: str, low: int = 0) -> int:
@@ -130,25 +130,25 @@
         value = stats[self.fields.index(name)]
         return None if value is None else figure(value, name)
 
-    def describe(self, values: tuple[Any, ...]) -> tuple[int, Any, Any, float, float | None, Any, int]:
+    def describe(self, values: tuple[Any, ...]) -> tuple[int, Any, Any, float, float | None, Any]:
         band, customer, _, left, work, group, bits = (values[1:] + (None,) * 7)[:7]
         if band not in self.settings.listeners:
             raise WireError(f"band: impossible value {band!r}")
         bits = whole(bits or 0, "bitmap")
         load = figure(work, "workNs") / 1e9 if work is not None and bits & COST_KNOWN else None
         left = whole(left or 0, "expiresInNs") / 1e9
-        return whole(values[0], "corr"), band, customer or None, left, load, group, bits
+        return whole(values[0], "corr"), band, customer or None, left, load, group
 
     def order(self, *values: Any) -> None:
-        token, band, customer, left, load, group, bits = self.describe(values)
+        token, band, customer, left, load, group = self.describe(values)
         listener = self.settings.listeners[band]
         who = self.settings.customers.get(customer)
-        sess = self.balancer.take(token, listener, who, group, left, load, bool(bits & CAME_BACK))
+        sess = self.balancer.take(token, listener, who, group, left, load)
         if not sess.answered:
             self.sessions[token] = sess
 
     def existing(self, *values: Any) -> None:
-        token, band, customer, _, load, group, _ = self.describe(values[:8])
+        token, band, customer, _, load, group = self.describe(values[:8])
         server = word(values[8] if len(values) > 8 else None, "server")
         who = self.settings.customers.get(customer)
         sess = self.balancer.adopt(token, self.settings.listeners[band], who, group, load, server)
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -8,8 +8,7 @@
 The design (docs/design.md): the lesser, by own connections per size, of two random servers and the one
 remembered best; paced hand-off in four stages when a server drains; the same pace for cold arrivals.
 Beside it stand:
-1. distrust: a score for each server that fades; its traffic follows it, and a high one makes it the source
-   of a hand-off.
+1. distrust: a score for each server that fades; traffic follows it, a high one starts a hand-off.
 2. dial plan: how long a dial may take, and what follows when it fails.
 3. cold budget: this balancer's own share of what all together may send to a cold server.
 4. list watch: asking for the server list again after a failure, before silence counts as told.
@@ -46,7 +45,7 @@
 FADE = 7.0  # seconds in which distrust falls to a third
 DISTRUSTED = 2.0  # above this, and above twice the fleet's median, a server gets nothing if others can
 STRAIN_FOR = 1.5  # seconds for which word of overload keeps new sessions off a server
-FULL_LOAD = 0.85  # reported load over capacity from which a server is strained
+FULL_LOAD = 0.85  # reported load over capacity from which a server is strained, and moved off
 LOAD_KEPT = 8.0  # seconds for which a reported load is carried on
 PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
@@ -96,7 +95,6 @@
     """What one balancer knows of one server."""
 
     def __init__(self, entry: Entry) -> None:
-        self.name = entry.name
         self.learn(entry)
         self.connections: dict[Session, None] = {}  # dials out and connections open, in order of placing
         self.groups: Counter[Hashable] = Counter()
@@ -104,13 +102,12 @@
         self.distrust, self.distrust_at = 0.0, 0.0
         self.delay, self.set_up = Figure(), Figure()
         self.load, self.load_at, self.load_count = 0.0, -math.inf, 0
-        self.probed_at = -1.0
-        self.strained_at = -math.inf  # last word of overload: it shed, was full, or its messages came late
+        self.probed_at = self.strained_at = -math.inf  # strained: it shed, was full, or late with messages
         self.arrival: Pace | None = None  # cold or back: new placements at the staged pace, to a fair share
         self.leaving: HandOff | None = None
 
     def learn(self, entry: Entry) -> None:
-        self.readiness, self.started = Readiness.IN_SERVICE, entry.started
+        self.name, self.readiness, self.started = entry.name, Readiness.IN_SERVICE, entry.started
         self.size, self.zone, self.cell = entry.size, entry.zone, entry.cell
 
     def score(self, now: float) -> float:
@@ -142,9 +139,8 @@
         self.server: Server | None = None
         self.tried: list[Server] = []
         self.dials, self.dialling, self.standing, self.answered, self.placed = 0, False, False, False, False
-        self.hold_until, self.news_at = (balancer.host.now + give_up) / 2, -math.inf
-        self.may_run_at: Server | None = None  # the first server on which this session may have run,
-        self.may_run_since = 0.0  # and when it was dialled
+        self.hold_until, self.news_at, self.may_run_since = (balancer.host.now + give_up) / 2, -math.inf, 0.0
+        self.may_run_at: Server | None = None  # the first server on which this session may have run
 
     def accepted(self, took: float) -> None:
         """The connection stands; it lasts until its dial ends."""
@@ -261,7 +257,7 @@
         self.servers: dict[str, Server] = {}
         self.memory: dict[Hashable, Server] = {}
         self.due: list[tuple[float, int, Callable[[], None]]] = []
-        self.counter, self.waiting = 0, list[Session]()
+        self.counter, self.waiting, self.fill = 0, list[Session](), 1.0
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
         self.retry_after, self.share_groups, self.setting_up = settings.retry_after, settings.groups, Figure()
@@ -269,11 +265,11 @@
                                  settings.me / settings.balancers, host.now)  # fmt: skip
         self.watched, self.ask_within = settings.watched, settings.ask_within
         self.list_lost, self.list_failures, self.list_asked = True, 0, -math.inf
-        self.probe_price = settings.probe_price if settings.probes else None
+        self.probe_price = max(settings.probe_price, 1e-4)
         if self.watched:
             self.later(self.rng.uniform(0.0, 0.2), self.ask)
-        self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
-        self.fill = 1.0
+        if settings.probes:
+            self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
         host.wake_at(host.now + TICK)
 
@@ -456,12 +452,11 @@
     def home(self, sess: Session, servers: list[Server]) -> Server | None:
         """The remembered best: per group where groups share work. A group not met yet is remembered where
         every balancer would look first, so that its connections meet without a word between balancers."""
-        if not self.share_groups or sess.group is None:
-            return self.memory.get(None)
-        known = self.memory.get(sess.group)
-        if known in servers or not servers:
+        group = sess.group if self.share_groups else None
+        known = self.memory.get(group)
+        if group is None or known in servers or not servers:
             return known
-        return max(servers, key=lambda s: s.size / -math.log(draw(sess.group, s.name)))
+        return max(servers, key=lambda s: s.size / -math.log(draw(group, s.name)))
 
     def pick(self, sess: Session) -> Server | None:
         now = self.host.now
@@ -488,10 +483,9 @@
     # ---- sessions
 
     def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
-             time_left: float, load: float | None, came_back: bool) -> Session:  # fmt: skip
+             time_left: float, load: float | None) -> Session:  # fmt: skip
         sess = Session(self, token, listener, customer, group, self.host.now + time_left, load)
-        if not came_back:
-            self.budget.arrived(self.host.now)
+        self.budget.arrived(self.host.now)
         self.dial(sess)
         return sess
 
@@ -545,7 +539,7 @@
 
     def load_told(self, server: Server, load: float) -> None:
         server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
-        if load >= 1.0 and server.readiness is Readiness.IN_SERVICE:
+        if load >= FULL_LOAD and server.readiness is Readiness.IN_SERVICE:
             # More is asked of it than it can do: all its messages are late until some are moved.
             self.hand_off(server, f"load {load:.2f}")
 
@@ -573,9 +567,7 @@
 
     def probe_round(self) -> None:
         now = self.host.now
-        if self.probe_price is None:
-            return
-        rate = PROBE_POINTS / max(self.probe_price, 1e-4) * self.budget.rate(now)
+        rate = PROBE_POINTS / self.probe_price * self.budget.rate(now)
         if any(now - s.strained_at < LOAD_KEPT for s in self.fleet):
             # In trouble reports are worth their price: with many servers the calm rate leaves most unknown.
             rate = max(rate, len(self.fleet) / 2.0)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -45,7 +45,7 @@
 
     def take(self, listener=CALLS, group=None, stands=True, customer=None, took=0.01):
         token = len(self.did) + 10000
-        sess = self.balancer.take(token, listener, customer, group, listener.dial_timeout, None, False)
+        sess = self.balancer.take(token, listener, customer, group, listener.dial_timeout, None)
         if stands and sess.dialling:
             sess.accepted(took)
         return sess
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -54,6 +54,7 @@
     for seed in (1, 2, 3):
         host = start(seed, groups=True)
         host.servers(*"abcdef", size=4.0)
+        host.balancer.fill = 5.0
         homes |= {host.take(group="g7").server.name for _ in range(3)}
     assert len(homes) == 1
 
