--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -45,7 +45,8 @@
 FADE = 7.0  # seconds in which distrust falls to a third
 DISTRUSTED = 2.0  # above this, and above twice the fleet's median, a server gets nothing if others can
 STRAIN_FOR = 1.5  # seconds for which word of overload keeps new sessions off a server
-FULL_LOAD = 0.85  # reported load over capacity from which a server is strained, and moved off
+FULL_LOAD = 0.75  # reported load over capacity from which a server gets nothing new
+SHED_LOAD = 0.9  # and from which its connections are moved off it
 LOAD_KEPT = 8.0  # seconds for which a reported load is carried on
 PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
@@ -407,7 +408,7 @@
         if source.leaving is not off:
             return
         serving = source.readiness is Readiness.IN_SERVICE
-        mended = serving and source.score(now) < DISTRUSTED / 2 and self.load_of(source) < FULL_LOAD
+        mended = serving and source.score(now) < DISTRUSTED / 2 and self.load_of(source) < SHED_LOAD
         if mended or not source.connections:
             self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
             if serving:
@@ -539,7 +540,7 @@
 
     def load_told(self, server: Server, load: float) -> None:
         server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
-        if load >= FULL_LOAD and server.readiness is Readiness.IN_SERVICE:
+        if load >= SHED_LOAD and server.readiness is Readiness.IN_SERVICE:
             # More is asked of it than it can do: all its messages are late until some are moved.
             self.hand_off(server, f"load {load:.2f}")
 
