--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -307,8 +307,7 @@
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
         scores = sorted(s.score(now) for s in self.fleet)
         bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
-        bad = {s for s in self.fleet if s.score(now) > bar}
-        self.bad = bad if 2 * len(bad) < len(self.fleet) else set()
+        self.bad = {s for s in self.fleet if s.score(now) > bar}
         heard = [s for s in self.fleet if s.heard and not s.arrival]
         size = sum(s.size for s in heard)
         self.mean = sum(len(s.connections) for s in heard) / size if size else 0.0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,7 +16,7 @@
     """Notes what it is asked; time passes only when a story says so."""
 
     def __init__(self, settings, seed):
-        self.now, self.wake, self.did = 1000.0, [], []
+        self.now, self.wake, self.did, self.taken = 1000.0, [], [], 0
         self.balancer = Balancer(self, settings, seed)
 
     def __getattr__(self, name):
@@ -44,7 +44,8 @@
         return [self.balancer.servers.get(name) for name in names]
 
     def take(self, listener=CALLS, group=None, stands=True, customer=None, took=0.01):
-        token = len(self.did) + 10000
+        self.taken += 1
+        token = 10000 + self.taken
         sess = self.balancer.take(token, listener, customer, group, listener.dial_timeout, None)
         if stands and sess.dialling:
             sess.accepted(took)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,7 +6,7 @@
 import pytest
 from conftest import CALLS
 
-from onyxhollow.interface import DialEnd, ListKind, Readiness, Repeat, Scope
+from onyxhollow.interface import Customer, DialEnd, ListKind, Readiness, Repeat, Scope
 from onyxhollow.policy import Pace
 
 ONCE = replace(CALLS, repeat=Repeat.ONCE_ONLY)
@@ -139,10 +139,20 @@
     sess.dial_ended(DialEnd.CONNECT_FAILED, False, 0.001)
     assert len(host.asked("refuse")) == 1 and len(host.asked("dial")) == 4
     sess.dial_ended(DialEnd.CONNECT_FAILED, False, 0.001)
+    assert len(host.asked("refuse")) == 1
+
+
+def test_rule_1_nothing_is_sent_for_a_session_whose_client_is_gone(start):
+    host = start(cancelling=True)
+    a, b = host.servers("a", "b")
     gone = host.take(stands=False)
     gone.client_gone()
-    gone.dial_ended(DialEnd.TIMEOUT, True, 0.3)
-    assert len(host.asked("refuse")) == 1 and len(host.asked("dial")) == 5
+    assert host.asked("cancel") == [(gone.token, 0)]
+    gone.dial_ended(DialEnd.TIMEOUT, False, 0.3)
+    a.strained_at = b.strained_at = host.now
+    host.take(stands=False).client_gone()
+    host.wait(5.0)
+    assert len(host.asked("dial")) == 1 and not host.asked("refuse")
 
 
 def test_rule_2_once_only_is_redialled_only_if_it_never_ran(host, lost):
@@ -217,4 +227,112 @@
     for _ in range(6):
         for server in servers:
             host.balancer.blame(server, 1.0)
-    assert not host.balancer.bad and not any(s.leaving for s in servers)
+        host.wait(0.1)
+    assert host.take().server in servers and not any(s.leaving for s in servers)
+
+
+def test_a_server_cold_in_the_first_list_is_eased_in(host):
+    host.balancer.server_list(ListKind.CACHED, [])
+    a, b = host.servers("a", started=host.now - 1.0) + host.servers("b", kind=ListKind.CHANGES)
+    assert a.arrival and host.balancer.budget.cold(a, host.now) and not host.balancer.budget.cold(b, host.now)
+
+
+def test_a_server_is_not_filled_past_its_load_and_own_placings_count_at_once(host):
+    a, b = host.servers("a", "b")
+    for _ in range(20):
+        host.take()
+    host.balancer.probed("a", DialEnd.OK, 0.01, 0.9)
+    host.balancer.probed("b", DialEnd.OK, 0.01, 0.4)
+    host.wait(0.1)
+    before = len(a.connections)
+    waiting = [s for _ in range(40) if (s := host.take()).server is None]
+    assert len(a.connections) == before and waiting and len(b.connections) > 10
+    host.balancer.probed("b", DialEnd.OK, 0.01, 0.1)
+    host.wait(0.1)
+    assert waiting[0].server is b
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_a_server_that_sheds_or_is_late_is_not_refilled_at_once(host, lost, late):
+    a, _ = host.servers("a", "b")
+    sessions = [host.take() for _ in range(10)]
+    mine = [s for s in sessions if s.server is a]
+    if late:
+        mine[0].delay_news(0.5)
+    else:
+        lost(mine[0])
+    before = placed(host)["a"]
+    for _ in range(10):
+        host.take()
+    assert placed(host)["a"] == before
+    host.wait(2.0)
+    for _ in range(30):
+        host.take()
+    assert placed(host)["a"] > before
+
+
+def test_piled_up_work_is_moved_off_until_load_is_under_what_it_can_do(host):
+    a, _ = host.servers("a", "b")
+    for _ in range(60):
+        host.take()
+    host.balancer.probed("b", DialEnd.OK, 0.01, 0.5)
+    host.balancer.probed("a", DialEnd.OK, 0.01, 1.2)
+    host.wait(20.0)
+    moved = len(host.asked("move"))
+    assert 4 <= moved < 30 and a.leaving is None
+
+
+def test_overload_admits_by_utility_and_within_the_customers_share(start):
+    over, within = Customer("over", connections=1.0), Customer("within", connections=99.0)
+    host = start(customers={"over": over, "within": within}, overage_utility=0.2)
+    host.servers("a", "b")
+    for _ in range(6):
+        host.take(customer=over)
+    for name in "ab":
+        host.balancer.probed(name, DialEnd.OK, 0.01, 0.9)
+    host.wait(0.1)
+    low, high = replace(CALLS, utility=2.0), replace(CALLS, utility=5.0)
+    order = [(low, within), (high, over), (high, within)]
+    waiting = [host.take(listener, customer=who) for listener, who in order]
+    for name in "ab":
+        host.balancer.probed(name, DialEnd.OK, 0.01, 0.1)
+    host.wait(0.1)
+    assert [token for token, *_ in host.asked("dial")[-3:]] == [waiting[n].token for n in (2, 0, 1)]
+
+
+def test_servers_are_probed_often_only_while_one_is_strained(start):
+    host = start(probes=True, probe_price=0.01)
+    a, *_ = host.servers(*"abcdefgh")
+    host.wait(10.0)
+    calm = len(host.asked("probe"))
+    a.strained_at = host.now
+    host.wait(8.0)
+    assert calm <= 4 and len(host.asked("probe")) - calm >= 25
+
+
+def test_messages_late_again_and_again_start_a_hand_off(host):
+    a, *_ = host.servers(*"abcde")
+    for sess in [host.take() for _ in range(50)]:
+        if sess.server is a:
+            sess.delay_news(1.0)
+            for _ in range(3):
+                host.wait(0.05)
+                sess.delay_news(1.0)
+    assert host.asked("move")
+
+
+def test_a_store_too_slow_for_any_dial_stretches_the_dial_times_too(host, lost):
+    host.servers("a", "b")
+    lost(host.take(stands=False), DialEnd.TIMEOUT)
+    assert [timeout for *_, timeout in host.asked("dial")] == pytest.approx([0.3, 0.3])
+    host.take(stands=False).dial_ended(DialEnd.TIMEOUT, False, 0.3)
+    assert host.asked("dial")[-1][-1] > 0.4
+
+
+def test_a_slow_store_stretches_the_dial_times(host):
+    host.servers("a", "b")
+    host.take(took=0.01)
+    host.take(took=0.5)
+    host.take(stands=False)
+    times = [timeout for *_, timeout in host.asked("dial")]
+    assert times == pytest.approx([0.3, 0.3, 3 * (0.01 + 0.3 * 0.49)])
