--- a/onyxhollow/benchlink/link.py
+++ b/onyxhollow/benchlink/link.py
@@ -137,7 +137,7 @@
         bits = whole(bits or 0, "bitmap")
         load = figure(work, "workNs") / 1e9 if work is not None and bits & COST_KNOWN else None
         left = whole(left or 0, "expiresInNs") / 1e9
-        return whole(values[0], "corr"), band, customer or None, left, load, group
+        return whole(values[0] if values else None, "corr"), band, customer or None, left, load, group
 
     def order(self, *values: Any) -> None:
         token, band, customer, left, load, group = self.describe(values)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -49,6 +49,7 @@
     (["hearsay", 3], "line 9: unknown message hearsay"),
     (["order", 3, 9, "no such", None, "s-1", 1, None, None, 0], "line 9: band: impossible value 'no such'"),
     (["order", 3, -9, "calls", None, "s-1", 1, None, None, 0], "line 9: corr: impossible value -9"),
+    (["order", 3], "line 9: band: impossible value None"),
     (["provision", 4, 1, {"listeners": []}], "line 9: missing setting rules"),
 ])  # fmt: skip
 def test_a_malformed_line_is_named_and_ends_the_adapter(bad, said):
