--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -43,6 +43,10 @@
         self.balancer.server_list(kind, [Entry(name, ready, **values) for name in names])
         return [self.balancer.servers.get(name) for name in names]
 
+    def loads(self, **reported):
+        for name, load in reported.items():
+            self.balancer.probed(name, DialEnd.OK, 0.01, load)
+
     def take(self, listener=CALLS, group=None, stands=True, customer=None, took=0.01):
         self.taken += 1
         token = 10000 + self.taken
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -241,13 +241,12 @@
     a, b = host.servers("a", "b")
     for _ in range(20):
         host.take()
-    host.balancer.probed("a", DialEnd.OK, 0.01, 0.9)
-    host.balancer.probed("b", DialEnd.OK, 0.01, 0.4)
+    host.loads(a=0.9, b=0.4)
     host.wait(0.1)
     before = len(a.connections)
     waiting = [s for _ in range(40) if (s := host.take()).server is None]
     assert len(a.connections) == before and waiting and len(b.connections) > 10
-    host.balancer.probed("b", DialEnd.OK, 0.01, 0.1)
+    host.loads(b=0.1)
     host.wait(0.1)
     assert waiting[0].server is b
 
@@ -275,8 +274,7 @@
     a, _ = host.servers("a", "b")
     for _ in range(60):
         host.take()
-    host.balancer.probed("b", DialEnd.OK, 0.01, 0.5)
-    host.balancer.probed("a", DialEnd.OK, 0.01, 1.2)
+    host.loads(b=0.5, a=1.2)
     host.wait(20.0)
     moved = len(host.asked("move"))
     assert 4 <= moved < 30 and a.leaving is None
@@ -288,14 +286,12 @@
     host.servers("a", "b")
     for _ in range(6):
         host.take(customer=over)
-    for name in "ab":
-        host.balancer.probed(name, DialEnd.OK, 0.01, 0.9)
+    host.loads(a=0.9, b=0.9)
     host.wait(0.1)
     low, high = replace(CALLS, utility=2.0), replace(CALLS, utility=5.0)
     order = [(low, within), (high, over), (high, within)]
     waiting = [host.take(listener, customer=who) for listener, who in order]
-    for name in "ab":
-        host.balancer.probed(name, DialEnd.OK, 0.01, 0.1)
+    host.loads(a=0.1, b=0.1)
     host.wait(0.1)
     assert [token for token, *_ in host.asked("dial")[-3:]] == [waiting[n].token for n in (2, 0, 1)]
 
