--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -21,6 +21,7 @@
 
 import heapq
 import math
+from bisect import bisect
 from collections import Counter
 from collections.abc import Callable, Hashable, Iterable
 from hashlib import blake2b
@@ -50,6 +51,10 @@
 LOAD_KEPT = 8.0  # seconds for which a reported load is carried on
 PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
+LEAST = 16  # servers a balancer works with at the least, if there are so many
+REVIEW = 0.5  # seconds between two looks at the working set
+EXCHANGE = 10.0  # seconds after which one server of the working set is exchanged
+POINTS = 2  # places on the ring of homes for each unit of size
 
 
 def draw(*names: Hashable) -> float:
@@ -78,7 +83,7 @@
     BASE = (0.05, 0.10, 0.15, 0.20)
 
     def __init__(self, count: int) -> None:
-        self.count, self.moved, self.carry, self.credit = count, 0, 0.0, 0
+        self.count, self.moved, self.carry, self.credit, self.at = count, 0, 0.0, 0, -math.inf
 
     def allowance(self, source: float | None, receiver: float | None) -> int:
         stage = min(3, 4 * self.moved // max(1, self.count))
@@ -110,6 +115,7 @@
     def learn(self, entry: Entry) -> None:
         self.name, self.readiness, self.started = entry.name, Readiness.IN_SERVICE, entry.started
         self.size, self.zone, self.cell = entry.size, entry.zone, entry.cell
+        self.places = [draw(self.name, n) for n in range(min(32, math.ceil(POINTS * self.size)))]
 
     def score(self, now: float) -> float:
         return self.distrust * math.exp((self.distrust_at - now) / FADE)
@@ -119,12 +125,14 @@
 
     def hold(self, sess: Session) -> None:
         self.connections[sess], self.heard = None, True
+        sess.balancer.held[sess.customer] += 1
         self.groups[sess.group] += 1
 
     def release(self, sess: Session) -> None:
         if sess not in self.connections:
             return
         del self.connections[sess]
+        sess.balancer.held[sess.customer] -= 1
         self.groups[sess.group] -= 1
         if self.leaving:
             self.leaving.pace.moved += 1
@@ -222,6 +230,9 @@
         span = self.MEMORY * (1.0 - math.exp((self.since - now) / self.MEMORY))
         return self.seen * math.exp((self.at - now) / self.MEMORY) / max(span, 1.0)
 
+    def open(self, server: Server, now: float) -> None:
+        self.tokens[server] = ((self.phase + draw(server.name)) % 1.0, now)
+
     def cold(self, server: Server, now: float) -> bool:
         return server.started is not None and now - server.started < self.time
 
@@ -229,7 +240,7 @@
         """How many sessions may go to this server now: one or more is no bar."""
         if not self.cold(server, now):
             return 1.0
-        level, at = self.tokens.get(server, (self.phase, now))
+        level, at = self.tokens[server]
         warmth = self.share + (1.0 - self.share) * max(0.0, now - (server.started or 0.0)) / self.time
         rate = fill * server.size / self.time * min(1.0, warmth)
         level = min(1.0, level + (now - at) * rate * self.multiple)
@@ -256,9 +267,12 @@
     def __init__(self, host: Host, settings: Settings, seed: int) -> None:
         self.host, self.rng = host, Random(seed)
         self.servers: dict[str, Server] = {}
+        self.fleet, self.working = list[Server](), list[Server]()  # in service; worked with
+        self.ring: list[tuple[float, int]] = []
+        self.held: Counter[Customer | None] = Counter()
         self.memory: dict[Hashable, Server] = {}
         self.due: list[tuple[float, int, Callable[[], None]]] = []
-        self.counter, self.waiting, self.fill = 0, list[Session](), 1.0
+        self.counter, self.waiting, self.fill, self.mean, self.bar = 0, list[Session](), 1.0, 0.0, DISTRUSTED
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
         self.retry_after, self.share_groups, self.setting_up = settings.retry_after, settings.groups, Figure()
@@ -272,6 +286,7 @@
         if settings.probes:
             self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
+        self.later(EXCHANGE, self.exchange)
         host.wake_at(host.now + TICK)
 
     # ---- time
@@ -283,16 +298,13 @@
     def tick(self) -> None:
         """The one periodic timer: does what has fallen due."""
         now = self.host.now
-        self.review()
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
         if self.waiting:
             # Overload: those of most utility first, less if their customer holds more than its share.
-            held = Counter(s.customer for server in self.servers.values() for s in server.connections)
-
             def value(sess: Session) -> float:
                 who = sess.customer
-                over = who is not None and 0 < who.connections < self.balancers * held[who]
+                over = who is not None and 0 < who.connections < self.balancers * self.held[who]
                 return sess.listener.utility * (self.overage_utility if over else 1.0)
 
             waiting, self.waiting = sorted(self.waiting, key=value, reverse=True), []
@@ -301,14 +313,17 @@
         self.host.wake_at(now + TICK)
 
     def review(self) -> None:
-        """What is decided for the fleet as a whole, anew each tick and at each word of the list."""
+        """What is decided for the working set as a whole, anew every half second."""
+        self.draw_working()
+        self.look()
+        self.later(REVIEW, self.review)
+
+    def look(self) -> None:
         now = self.host.now
-        self.fleet = [s for s in self.servers.values() if s.readiness is Readiness.IN_SERVICE]
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
-        scores = sorted(s.score(now) for s in self.fleet)
-        bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
-        self.bad = {s for s in self.fleet if s.score(now) > bar}
-        heard = [s for s in self.fleet if s.heard and not s.arrival]
+        scores = sorted(s.score(now) for s in self.working)
+        self.bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
+        heard = [s for s in self.working if s.heard and not s.arrival]
         size = sum(s.size for s in heard)
         self.mean = sum(len(s.connections) for s in heard) / size if size else 0.0
         # Own connections per size that fill a server; lacking reports, what new ones it gets over a warm-up.
@@ -317,6 +332,33 @@
         size = sum(s.size * s.load for s in known) or sum(s.size for s in self.fleet)
         self.fill = max(own, 1.0) / max(size, 1.0)
 
+    # ---- the working set
+
+    def draw_working(self) -> None:
+        """Servers drawn at random from the fleet, as many as reports and own connections tell something of;
+        those that are gone, distrusted or strained are replaced. On a small fleet all of it."""
+        known = LOAD_KEPT * PROBE_POINTS / self.probe_price * self.budget.rate(self.host.now)
+        self.breadth = max(LEAST, math.ceil(known), sum(self.held.values()) // 4)
+        if self.breadth >= len(self.fleet):
+            self.working = list(self.fleet)
+            return
+        fit = [s for s in self.working if s.readiness is Readiness.IN_SERVICE
+               and not self.bad(s) and not self.strained(s)]  # fmt: skip
+        while len(fit) < self.breadth:
+            if (server := self.rng.choice(self.fleet)) not in fit:
+                fit.append(server)
+        self.working = fit
+
+    def exchange(self) -> None:
+        """Now and then one server of the working set makes room for another; no connection is moved."""
+        if len(self.working) < len(self.fleet):
+            del self.working[self.rng.randrange(len(self.working))]
+            self.draw_working()
+        self.later(EXCHANGE, self.exchange)
+
+    def bad(self, server: Server) -> bool:
+        return server.score(self.host.now) > self.bar
+
     # ---- the server list
 
     def ask(self) -> None:
@@ -339,31 +381,43 @@
                 self.host.log(f"list watched: failures before {self.list_failures}")
             self.list_lost, self.list_failures = False, 0
         first, absent = not self.servers, set(self.servers) if kind is not ListKind.CHANGES else set()
+        joined = []
         for entry in entries:
             absent.discard(entry.name)
-            self.told(entry, first)
+            if self.told(entry, first):
+                joined.append(self.servers[entry.name])
         for name in sorted(absent):
             self.leave(self.servers[name], Readiness.GONE)
-        self.review()
-
-    def told(self, entry: Entry, first: bool) -> None:
+        self.fleet = [s for s in self.servers.values() if s.readiness is Readiness.IN_SERVICE]
+        if self.share_groups:
+            self.ring = sorted((place, n) for n, s in enumerate(self.fleet) for place in s.places)
+        for server in joined:
+            # Each newcomer is in as many working sets as any other server is.
+            if self.rng.random() * len(self.fleet) < len(self.working) and server not in self.working:
+                self.working[self.rng.randrange(len(self.working))] = server
+        self.draw_working()
+        self.look()
+
+    def told(self, entry: Entry, first: bool) -> bool:
+        """Whether the server is new or back."""
         now, server = self.host.now, self.servers.get(entry.name)
         if server is None and entry.readiness is Readiness.GONE:
-            return
+            return False
         before = server.started if server else None
         joined = server.readiness is not Readiness.IN_SERVICE if server else not first
         server = server or self.servers.setdefault(entry.name, Server(entry))
         restarted = entry.started is not None and entry.started != before
         if entry.readiness is not Readiness.IN_SERVICE:
             self.leave(server, entry.readiness)
-            return
+            return False
         server.learn(entry)
         if restarted and self.budget.cold(server, now) or joined:
             # A returner starts anew: what was known of it before its restart says nothing.
             server.leaving, server.distrust = None, 0.0
-            self.budget.tokens.pop(server, None)
-            why = "cold" if self.budget.cold(server, now) else "back"
-            self.arrive(server, why, self.mean * server.size)
+            self.budget.open(server, now)
+            self.arrive(server, self.mean * server.size)
+            return True
+        return False
 
     def leave(self, server: Server, readiness: Readiness) -> None:
         news = server.readiness is Readiness.IN_SERVICE
@@ -414,7 +468,7 @@
                 source.leaving = None
             return
         delay = source.delay.fresh(now)
-        receivers = [s for s in self.fleet if s is not source and not s.leaving and not self.strained(s)]
+        receivers = [s for s in self.working if s is not source and not s.leaving and not self.strained(s)]
         figures = self.compare((off.delay if delay is None else delay, off.set_up), receivers)
         for sess in off.movable()[:pace.allowance(*figures)]:
             sess.standing = False
@@ -422,56 +476,71 @@
             self.host.move(sess.token)
         self.later(1.0, lambda: self.step_hand_off(off))
 
-    def arrive(self, server: Server, why: str, share: float) -> None:
-        server.arrival = Pace(max(1, round(share)))
+    def arrive(self, server: Server, share: float) -> None:
+        # Of many balancers with less than one connection a server, as many as the share says place one.
+        server.arrival = Pace(int(share + self.rng.random()))
+        why = "cold" if self.budget.cold(server, self.host.now) else "back"
         self.host.log(f"arrival {server.name}: {why}, size {server.size:g}, share {share:.1f}")
-        self.step_arrival(server, server.arrival)
 
-    def step_arrival(self, server: Server, pace: Pace) -> None:
-        now = self.host.now
-        if server.arrival is not pace:
-            return
+    def eased(self, server: Server, now: float) -> bool:
+        """Whether a server that arrives may get one more: the staged pace, and the cold budget."""
+        pace = server.arrival
+        if pace is None:
+            return True
         if pace.moved >= pace.count and not self.budget.cold(server, now):
             server.arrival = None
             self.host.log(f"arrival {server.name} ends: own connections {len(server.connections)}")
-            return
-        others = [s for s in self.fleet if not s.arrival]
-        figures = self.compare((server.delay.fresh(now), server.set_up.fresh(now)), others)
-        pace.credit = pace.credit or max(1, pace.allowance(figures[1], figures[0]))
-        self.later(1.0, lambda: self.step_arrival(server, pace))
+            return True
+        if now >= pace.at + 1.0:
+            others = [s for s in self.working if not s.arrival]
+            figures = self.compare((server.delay.fresh(now), server.set_up.fresh(now)), others)
+            pace.at, pace.credit = now, pace.credit or max(1, pace.allowance(figures[1], figures[0]))
+        return pace.credit > 0 and self.budget.grow(server, self.fill, now) >= 1
 
     # ---- the pick
 
     def weight(self, server: Server, group: Hashable, now: float) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
-        own = len(server.connections) if server.heard or server.arrival else self.mean * server.size
+        due = server.arrival and server.arrival.moved < server.arrival.count
+        own = len(server.connections) if server.heard or due else self.mean * server.size
         if self.share_groups and group is not None and not server.groups[group]:
             own += GROUP_COST * self.fill * server.size
         return (own + 1.0) / server.size * (1.0 + server.score(now))
 
-    def home(self, sess: Session, servers: list[Server]) -> Server | None:
+    def home(self, sess: Session, now: float) -> Server | None:
         """The remembered best: per group where groups share work. A group not met yet is remembered where
-        every balancer would look first, so that its connections meet without a word between balancers."""
-        group = sess.group if self.share_groups else None
-        known = self.memory.get(group)
-        if group is None or known in servers or not servers:
+        every balancer would look first, so that its connections meet without a word between balancers:
+        the first fit server from the group's place on a ring of servers."""
+        known = self.memory.get(group := sess.group if self.share_groups else None)
+        if group is None or known and self.fit(known, sess, now):
             return known
-        return max(servers, key=lambda s: s.size / -math.log(draw(group, s.name)))
+        at = bisect(self.ring, (draw(group), 0))
+        for step in range(min(LEAST, len(self.ring))):
+            server = self.fleet[self.ring[(at + step) % len(self.ring)][1]]
+            if self.fit(server, sess, now) and not server.arrival:
+                return server
+        return None
+
+    def fit(self, server: Server, sess: Session, now: float) -> bool:
+        return (server.readiness is Readiness.IN_SERVICE and not server.leaving and not self.bad(server)
+                and not self.strained(server) and sess.may_go_to(server, now))  # fmt: skip
 
     def pick(self, sess: Session) -> Server | None:
         now = self.host.now
-        pool = [s for s in self.fleet if s not in self.bad and sess.may_go_to(s, now)]
-        pool = [s for s in pool if not self.strained(s)]
+        bound = sess.may_run_at is not None and sess.listener.repeat is not Repeat.REPEATABLE
+        pool = [s for s in (self.fleet if bound else self.working)
+                if self.fit(s, sess, now) and self.eased(s, now)]  # fmt: skip
         pool = [s for s in pool if s not in sess.tried] or pool
-        arriving = [s for s in pool if s.arrival and s.arrival.credit
-                    and self.budget.grow(s, self.fill, now) >= 1]  # fmt: skip
-        trusted = [s for s in pool if not s.arrival and not s.leaving]
-        candidates = self.rng.sample(trusted, min(2, len(trusted)))
-        if (remembered := self.home(sess, trusted)) in trusted:
+        candidates = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
+        rest = [s for s in pool if s not in candidates]
+        candidates += self.rng.sample(rest, min(2, len(rest)))
+        remembered = self.home(sess, now)
+        if remembered and remembered not in sess.tried and self.fit(remembered, sess, now) \
+                and self.eased(remembered, now):
             candidates.insert(0, remembered)
-        if not candidates and not arriving:
+        if not candidates:
             return None
-        best = min(candidates + arriving, key=lambda s: self.weight(s, sess.group, now))
+        best = min(candidates, key=lambda s: self.weight(s, sess.group, now))
         if best.arrival:
             best.arrival.credit -= 1
             best.arrival.moved += 1
@@ -539,6 +608,7 @@
 
     def load_told(self, server: Server, load: float) -> None:
         server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
+        self.look()
         if load >= SHED_LOAD and server.readiness is Readiness.IN_SERVICE:
             # More is asked of it than it can do: all its messages are late until some are moved.
             self.hand_off(server, f"load {load:.2f}")
@@ -559,7 +629,8 @@
     def blame(self, server: Server, amount: float) -> None:
         now = self.host.now
         server.blame(amount, now)
-        if server.score(now) >= 2 * DISTRUSTED and server in self.bad and server in self.fleet:
+        self.look()
+        if server.score(now) >= 2 * DISTRUSTED and self.bad(server) and server in self.fleet:
             # A sick server that nobody drains: the source of the same hand-off.
             self.hand_off(server, f"distrust {server.score(now):.1f}")
 
@@ -568,12 +639,12 @@
     def probe_round(self) -> None:
         now = self.host.now
         rate = PROBE_POINTS / self.probe_price * self.budget.rate(now)
-        if any(now - s.strained_at < LOAD_KEPT for s in self.fleet):
+        if any(now - s.strained_at < LOAD_KEPT for s in self.working):
             # In trouble reports are worth their price: with many servers the calm rate leaves most unknown.
-            rate = max(rate, len(self.fleet) / 2.0)
-        if self.fleet:
+            rate = max(rate, len(self.working) / 2.0)
+        if self.working:
             # The longest unprobed first, distrusted ones sooner.
-            server = max(self.fleet, key=lambda s: (now - s.probed_at) * (1.0 + s.score(now)))
+            server = max(self.working, key=lambda s: (now - s.probed_at) * (1.0 + s.score(now)))
             server.probed_at = now
             self.host.probe(server.name)
         self.later(1.0 / min(1.0 / TICK, max(rate, 0.2)), self.probe_round)
