--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -51,6 +51,7 @@
 LOAD_KEPT = 8.0  # seconds for which a reported load is carried on
 PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
+CHANCE = 3.0  # own connections a server to which differences between servers are mostly chance
 LEAST = 16  # servers a balancer works with at the least, if there are so many
 REVIEW = 0.5  # seconds between two looks at the working set
 EXCHANGE = 10.0  # seconds after which one server of the working set is exchanged
@@ -326,17 +327,20 @@
         heard = [s for s in self.working if s.heard and not s.arrival]
         size = sum(s.size for s in heard)
         self.mean = sum(len(s.connections) for s in heard) / size if size else 0.0
-        # Own connections per size that fill a server; lacking reports, what new ones it gets over a warm-up.
-        known = [s for s in heard if s.load > 0.1 and now - s.load_at < LOAD_KEPT]
-        own = sum(s.load_count for s in known) or self.budget.rate(now) * self.budget.time
-        size = sum(s.size * s.load for s in known) or sum(s.size for s in self.fleet)
-        self.fill = max(own, 1.0) / max(size, 1.0)
+        # Own connections per size that fill a server: with few a server only their sum tells, over the load
+        # that servers report on the whole; lacking reports, what new ones a server gets over a warm-up.
+        known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
+        load = max(0.1, sum(s.size * s.load for s in known) / (sum(s.size for s in known) or 1.0))
+        fresh = self.budget.rate(now) * self.budget.time / self.size
+        self.fill = max(self.usual / load, fresh) if known else fresh
 
     # ---- the working set
 
     def draw_working(self) -> None:
         """Servers drawn at random from the fleet, as many as reports and own connections tell something of;
         those that are gone, distrusted or strained are replaced. On a small fleet all of it."""
+        self.size = sum(s.size for s in self.fleet if not s.arrival) or 1.0
+        self.usual = sum(self.held.values()) / self.size  # own connections per size, all servers alike
         known = LOAD_KEPT * PROBE_POINTS / self.probe_price * self.budget.rate(self.host.now)
         self.breadth = max(LEAST, math.ceil(known), sum(self.held.values()) // 4)
         if self.breadth >= len(self.fleet):
@@ -426,10 +430,14 @@
             self.hand_off(server, "drain")
 
     def load_of(self, server: Server) -> float:
-        """The load last reported, carried on by own connections since; 0 if none is known."""
+        """The load last reported, carried on by own connections since; 0 if none is known. With many own
+        connections a server the other balancers are taken to have done the same; with few that is chance."""
         if self.host.now - server.load_at >= LOAD_KEPT:
             return 0.0
-        return server.load + (len(server.connections) - server.load_count) / (self.fill * server.size)
+        own = self.usual * server.size
+        alike = 1.0 + (self.balancers - 1.0) * own / (own + CHANCE)
+        more = (len(server.connections) - server.load_count) * alike / self.balancers
+        return server.load + more / max(self.fill * server.size, 1.0 / self.balancers)
 
     def strained(self, server: Server) -> bool:
         return self.host.now - server.strained_at < STRAIN_FOR or self.load_of(server) >= FULL_LOAD
@@ -504,7 +512,7 @@
         due = server.arrival and server.arrival.moved < server.arrival.count
         own = len(server.connections) if server.heard or due else self.mean * server.size
         if self.share_groups and group is not None and not server.groups[group]:
-            own += GROUP_COST * self.fill * server.size
+            own += GROUP_COST * (self.fill * server.size + CHANCE)
         return (own + 1.0) / server.size * (1.0 + server.score(now))
 
     def home(self, sess: Session, now: float) -> Server | None:
@@ -641,7 +649,7 @@
         rate = PROBE_POINTS / self.probe_price * self.budget.rate(now)
         if any(now - s.strained_at < LOAD_KEPT for s in self.working):
             # In trouble reports are worth their price: with many servers the calm rate leaves most unknown.
-            rate = max(rate, len(self.working) / 2.0)
+            rate = max(rate, min(len(self.working) / 2.0, 4.0 * rate))
         if self.working:
             # The longest unprobed first, distrusted ones sooner.
             server = max(self.working, key=lambda s: (now - s.probed_at) * (1.0 + s.score(now)))
