A group's home counts as holding the group at balancers that have none of it there

Cause: with ten own connections over a hundred groups every server looked new to every group, so groups were strewn. Homes are filled without a look at their load; kept, since asking the home first comes next.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -507,11 +507,11 @@
 
     # ---- the pick
 
-    def weight(self, server: Server, group: Hashable, now: float) -> float:
+    def weight(self, server: Server, group: Hashable, home: Server | None, now: float) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
         due = server.arrival and server.arrival.moved < server.arrival.count
         own = len(server.connections) if server.heard or due else self.mean * server.size
-        if self.share_groups and group is not None and not server.groups[group]:
+        if self.share_groups and group is not None and server is not home and not server.groups[group]:
             own += GROUP_COST * (self.fill * server.size + CHANCE)
         return (own + 1.0) / server.size * (1.0 + server.score(now))
 
@@ -548,7 +548,7 @@
             candidates.insert(0, remembered)
         if not candidates:
             return None
-        best = min(candidates, key=lambda s: self.weight(s, sess.group, now))
+        best = min(candidates, key=lambda s: self.weight(s, sess.group, remembered, now))
         if best.arrival:
             best.arrival.credit -= 1
             best.arrival.moved += 1
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -45,7 +45,7 @@
     host.servers("c", kind=ListKind.CHANGES)
     host.balancer.servers["c"].arrival = None
     host.balancer.review()
-    weigh = [host.balancer.weight(s, None, host.now) for s in (*old, host.balancer.servers["c"])]
+    weigh = [host.balancer.weight(s, None, None, host.now) for s in (*old, host.balancer.servers["c"])]
     assert weigh[2] == pytest.approx(sum(weigh[:2]) / 2)
 
 
