Where own connections a server are few, the home is asked for its load before a first dial

Cause: hundreds of balancers filled the homes of groups blindly; servers shed, and clients came back to the same place.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -52,6 +52,8 @@
 PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
 CHANCE = 3.0  # own connections a server to which differences between servers are mostly chance
+REPORT_AGE = 1.0  # seconds for which a report is good enough to place by
+ASK_FOR = 0.1  # seconds an asked server has to answer in
 LEAST = 16  # servers a balancer works with at the least, if there are so many
 REVIEW = 0.5  # seconds between two looks at the working set
 EXCHANGE = 10.0  # seconds after which one server of the working set is exchanged
@@ -149,6 +151,7 @@
         self.server: Server | None = None
         self.tried: list[Server] = []
         self.dials, self.dialling, self.standing, self.answered, self.placed = 0, False, False, False, False
+        self.asks = 0
         self.hold_until, self.news_at, self.may_run_since = (balancer.host.now + give_up) / 2, -math.inf, 0.0
         self.may_run_at: Server | None = None  # the first server on which this session may have run
 
@@ -284,6 +287,7 @@
         self.probe_price = max(settings.probe_price, 1e-4)
         if self.watched:
             self.later(self.rng.uniform(0.0, 0.2), self.ask)
+        self.probing = settings.probes
         if settings.probes:
             self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
@@ -330,9 +334,9 @@
         # Own connections per size that fill a server: with few a server only their sum tells, over the load
         # that servers report on the whole; lacking reports, what new ones a server gets over a warm-up.
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
-        load = max(0.1, sum(s.size * s.load for s in known) / (sum(s.size for s in known) or 1.0))
+        load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
         fresh = self.budget.rate(now) * self.budget.time / self.size
-        self.fill = max(self.usual / load, fresh) if known else fresh
+        self.fill = self.usual / max(0.25, load) or fresh
 
     # ---- the working set
 
@@ -582,6 +586,9 @@
         now, left = self.host.now, sess.give_up - self.host.now
         spent = left <= 0 or sess.dials >= self.most_dials
         spent = spent or sess.dials > 0 and not any(sess.may_go_to(s, now) for s in self.fleet)
+        if not spent and self.asking(sess, now):
+            self.waiting.append(sess)
+            return
         server = None if spent else self.pick(sess)
         if server is None:
             if not spent and now < sess.hold_until:
@@ -597,6 +604,21 @@
         server.hold(sess)
         self.host.dial(sess.token, server.name, self.dial_time(sess, left))
 
+    def asking(self, sess: Session, now: float) -> bool:
+        """Where own connections are too few to tell how full a server is, the home is asked before a first
+        dial; one that does not answer soon is passed over for a while."""
+        if not self.probing or self.usual * self.size > CHANCE * len(self.fleet) or sess.asks > 1:
+            return False
+        home = self.home(sess, now)
+        if home is None or sess.dials or now - home.load_at < REPORT_AGE:
+            return False
+        if now - home.probed_at >= REPORT_AGE:
+            home.probed_at = now
+            self.host.probe(home.name)
+        elif now - home.probed_at >= ASK_FOR:
+            home.strained_at, sess.asks = now, sess.asks + 1
+        return True
+
     def dial_time(self, sess: Session, left: float) -> float:
         """Dial plan: early dials get the handshake target or thrice what set-ups take in the fleet now, so
         that a slow store does not make every dial fail; the last, and any that can't be repeated, all."""
