--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -151,7 +151,7 @@
         self.server: Server | None = None
         self.tried: list[Server] = []
         self.dials, self.dialling, self.standing, self.answered, self.placed = 0, False, False, False, False
-        self.asks = 0
+        self.asks, self.drawn = 0, list[Server]()
         self.hold_until, self.news_at, self.may_run_since = (balancer.host.now + give_up) / 2, -math.inf, 0.0
         self.may_run_at: Server | None = None  # the first server on which this session may have run
 
@@ -545,21 +545,16 @@
         pool = [s for s in pool if s not in sess.tried] or pool
         candidates = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
         rest = [s for s in pool if s not in candidates]
-        candidates += self.rng.sample(rest, min(2, len(rest)))
+        if not (drawn := [s for s in sess.drawn if s in rest]):
+            sess.drawn = drawn = self.rng.sample(rest, min(2, len(rest)))
+        candidates += drawn
         remembered = self.home(sess, now)
         if remembered and remembered not in sess.tried and self.fit(remembered, sess, now) \
                 and self.eased(remembered, now):
             candidates.insert(0, remembered)
         if not candidates:
             return None
-        best = min(candidates, key=lambda s: self.weight(s, sess.group, remembered, now))
-        if best.arrival:
-            best.arrival.credit -= 1
-            best.arrival.moved += 1
-            self.budget.tokens[best] = (self.budget.grow(best, self.fill, now) - 1.0, now)
-        else:
-            self.memory[sess.group if self.share_groups else None] = best
-        return best
+        return min(candidates, key=lambda s: self.weight(s, sess.group, remembered, now))
 
     # ---- sessions
 
@@ -586,17 +581,23 @@
         now, left = self.host.now, sess.give_up - self.host.now
         spent = left <= 0 or sess.dials >= self.most_dials
         spent = spent or sess.dials > 0 and not any(sess.may_go_to(s, now) for s in self.fleet)
-        if not spent and self.asking(sess, now):
+        server = None if spent else self.pick(sess)
+        if server and self.asking(sess, server, now):
             self.waiting.append(sess)
             return
-        server = None if spent else self.pick(sess)
         if server is None:
             if not spent and now < sess.hold_until:
                 self.waiting.append(sess)  # all servers are cold or strained, or the list is empty
             else:
                 self.end(sess)
             return
-        sess.server, sess.placed, sess.dialling = server, True, True
+        if server.arrival:
+            server.arrival.credit -= 1
+            server.arrival.moved += 1
+            self.budget.tokens[server] = (self.budget.grow(server, self.fill, now) - 1.0, now)
+        else:
+            self.memory[sess.group if self.share_groups else None] = server
+        sess.server, sess.placed, sess.dialling, sess.drawn = server, True, True, []
         sess.dials += 1
         sess.tried.append(server)
         if sess.may_run_at is None:
@@ -604,19 +605,18 @@
         server.hold(sess)
         self.host.dial(sess.token, server.name, self.dial_time(sess, left))
 
-    def asking(self, sess: Session, now: float) -> bool:
-        """Where own connections are too few to tell how full a server is, the home is asked before a first
+    def asking(self, sess: Session, server: Server, now: float) -> bool:
+        """Where own connections are too few to tell how full servers are, the one picked is asked before a
         dial; one that does not answer soon is passed over for a while."""
-        if not self.probing or self.usual * self.size > CHANCE * len(self.fleet) or sess.asks > 1:
+        if not self.probing or self.usual * self.size > CHANCE * len(self.fleet) or sess.asks > 3:
             return False
-        home = self.home(sess, now)
-        if home is None or sess.dials or now - home.load_at < REPORT_AGE:
+        if now - server.load_at < REPORT_AGE:
             return False
-        if now - home.probed_at >= REPORT_AGE:
-            home.probed_at = now
-            self.host.probe(home.name)
-        elif now - home.probed_at >= ASK_FOR:
-            home.strained_at, sess.asks = now, sess.asks + 1
+        if now - server.probed_at >= REPORT_AGE:
+            sess.asks, server.probed_at = sess.asks + 1, now
+            self.host.probe(server.name)
+        elif now - server.probed_at >= ASK_FOR:
+            server.strained_at = now
         return True
 
     def dial_time(self, sess: Session, left: float) -> float:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -299,6 +299,7 @@
 def test_servers_are_probed_often_only_while_one_is_strained(start):
     host = start(probes=True, probe_price=0.01)
     a, *_ = host.servers(*"abcdefgh")
+    host.balancer.usual = 99.0
     for _ in range(40):
         host.take()
         host.wait(0.25)
