--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -274,7 +274,7 @@
         self.fleet, self.working = list[Server](), list[Server]()  # in service; worked with
         self.ring: list[tuple[float, int]] = []
         self.held: Counter[Customer | None] = Counter()
-        self.memory: dict[Hashable, Server] = {}
+        self.memory: Server | None = None
         self.due: list[tuple[float, int, Callable[[], None]]] = []
         self.counter, self.waiting, self.fill, self.mean, self.bar = 0, list[Session](), 1.0, 0.0, DISTRUSTED
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
@@ -381,11 +381,12 @@
             # All balancers lose the list at once: spread, growing waits keep them from drowning it.
             longest = min(self.ask_within / 4, 0.25 * 2 ** min(9, self.list_failures))
             wait = longest * self.rng.uniform(0.5, 1.0)
-            self.host.log(f"list lost: failures {self.list_failures}, asking again in {wait:.2f} s")
+            if self.list_failures == 1:
+                self.host.log(f"list lost: asking again in {wait:.2f} s")
             self.later(wait, self.ask)
             return
         if kind is not ListKind.CACHED:
-            if self.list_lost:
+            if self.list_failures:
                 self.host.log(f"list watched: failures before {self.list_failures}")
             self.list_lost, self.list_failures = False, 0
         first, absent = not self.servers, set(self.servers) if kind is not ListKind.CHANGES else set()
@@ -523,9 +524,9 @@
         """The remembered best: per group where groups share work. A group not met yet is remembered where
         every balancer would look first, so that its connections meet without a word between balancers:
         the first fit server from the group's place on a ring of servers."""
-        known = self.memory.get(group := sess.group if self.share_groups else None)
-        if group is None or known and self.fit(known, sess, now):
-            return known
+        group = sess.group if self.share_groups else None
+        if group is None:
+            return self.memory
         at = bisect(self.ring, (draw(group), 0))
         for step in range(min(LEAST, len(self.ring))):
             server = self.fleet[self.ring[(at + step) % len(self.ring)][1]]
@@ -596,7 +597,7 @@
             server.arrival.moved += 1
             self.budget.tokens[server] = (self.budget.grow(server, self.fill, now) - 1.0, now)
         else:
-            self.memory[sess.group if self.share_groups else None] = server
+            self.memory = server
         sess.server, sess.placed, sess.dialling, sess.drawn = server, True, True, []
         sess.dials += 1
         sess.tried.append(server)
