--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -54,12 +54,17 @@
 CHANCE = 3.0  # own connections a server to which differences between servers are mostly chance
 REPORT_AGE = 1.0  # seconds for which a report is good enough to place by
 ASK_FOR = 0.1  # seconds an asked server has to answer in
+OUT_MOST = 64.0  # dials out at once when all goes well
 LEAST = 16  # servers a balancer works with at the least, if there are so many
+MOST = 64  # and at the most
 REVIEW = 0.5  # seconds between two looks at the working set
 EXCHANGE = 10.0  # seconds after which one server of the working set is exchanged
 POINTS = 2  # places on the ring of homes for each unit of size
 
 
+NO_FAULT = (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT, DialEnd.FULL, DialEnd.CONNECT_FAILED)
+
+
 def draw(*names: Hashable) -> float:
     """The same number between 0 and 1 for the same names, at every balancer."""
     told = blake2b(" ".join(map(str, names)).encode(), digest_size=6).digest()
@@ -121,7 +126,7 @@
         self.places = [draw(self.name, n) for n in range(min(32, math.ceil(POINTS * self.size)))]
 
     def score(self, now: float) -> float:
-        return self.distrust * math.exp((self.distrust_at - now) / FADE)
+        return self.distrust and self.distrust * math.exp((self.distrust_at - now) / FADE)
 
     def blame(self, amount: float, now: float) -> None:
         self.distrust, self.distrust_at = self.score(now) + amount, now
@@ -161,6 +166,7 @@
         if server is None or self.answered:
             return
         self.standing = self.answered = True
+        self.balancer.set_up_ended(True)
         server.set_up.add(took, now)
         self.balancer.setting_up.add(took, now)
         server.blame(-0.3 * server.score(now), now)
@@ -190,6 +196,8 @@
             self.balancer.load_told(server, load)
         self.balancer.dial_judged(self, server, end, took)
         stood, self.standing = self.standing, False
+        if not stood and self.placed:
+            self.balancer.set_up_ended(end in NO_FAULT)
         if not end.never_ran and not stood and self.may_run_at is None:
             self.may_run_at = server
         if final or stood:
@@ -274,8 +282,9 @@
         self.fleet, self.working = list[Server](), list[Server]()  # in service; worked with
         self.ring: list[tuple[float, int]] = []
         self.held: Counter[Customer | None] = Counter()
-        self.memory: Server | None = None
+        self.memory: dict[Hashable, Server] = {}
         self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.out, self.window, self.again_at = 0, 8.0, host.now  # dials out now; how many may be; when next
         self.counter, self.waiting, self.fill, self.mean, self.bar = 0, list[Session](), 1.0, 0.0, DISTRUSTED
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
@@ -313,8 +322,14 @@
                 return sess.listener.utility * (self.overage_utility if over else 1.0)
 
             waiting, self.waiting = sorted(self.waiting, key=value, reverse=True), []
+            barred = 0
             for sess in waiting:
-                self.dial(sess)
+                # Where two in turn found no place there is none for the rest either.
+                if barred < 2 or now >= sess.hold_until:
+                    self.dial(sess)
+                    barred += sess.asks == 0 and not sess.dialling
+                else:
+                    self.waiting.append(sess)
         self.host.wake_at(now + TICK)
 
     def review(self) -> None:
@@ -346,7 +361,7 @@
         self.size = sum(s.size for s in self.fleet if not s.arrival) or 1.0
         self.usual = sum(self.held.values()) / self.size  # own connections per size, all servers alike
         known = LOAD_KEPT * PROBE_POINTS / self.probe_price * self.budget.rate(self.host.now)
-        self.breadth = max(LEAST, math.ceil(known), sum(self.held.values()) // 4)
+        self.breadth = min(MOST, max(LEAST, math.ceil(known), sum(self.held.values()) // 4))
         if self.breadth >= len(self.fleet):
             self.working = list(self.fleet)
             return
@@ -439,10 +454,11 @@
         connections a server the other balancers are taken to have done the same; with few that is chance."""
         if self.host.now - server.load_at >= LOAD_KEPT:
             return 0.0
+        if not (more := len(server.connections) - server.load_count):
+            return server.load
         own = self.usual * server.size
-        alike = 1.0 + (self.balancers - 1.0) * own / (own + CHANCE)
-        more = (len(server.connections) - server.load_count) * alike / self.balancers
-        return server.load + more / max(self.fill * server.size, 1.0 / self.balancers)
+        alike = (1.0 + (self.balancers - 1.0) * own / (own + CHANCE)) / self.balancers
+        return server.load + more * alike / max(self.fill * server.size, 1.0 / self.balancers)
 
     def strained(self, server: Server) -> bool:
         return self.host.now - server.strained_at < STRAIN_FOR or self.load_of(server) >= FULL_LOAD
@@ -463,7 +479,7 @@
     # ---- staged pace
 
     def hand_off(self, source: Server, why: str) -> None:
-        if source.leaving and source.readiness is Readiness.IN_SERVICE:
+        if not source.connections or source.leaving and source.readiness is Readiness.IN_SERVICE:
             return
         source.leaving = HandOff(source, self.host.now)
         self.host.log(f"hand-off {source.name}: {why}, own connections {source.leaving.pace.count}")
@@ -524,9 +540,9 @@
         """The remembered best: per group where groups share work. A group not met yet is remembered where
         every balancer would look first, so that its connections meet without a word between balancers:
         the first fit server from the group's place on a ring of servers."""
-        group = sess.group if self.share_groups else None
-        if group is None:
-            return self.memory
+        known = self.memory.get(group := sess.group if self.share_groups else None)
+        if group is None or known and self.fit(known, sess, now):
+            return known
         at = bisect(self.ring, (draw(group), 0))
         for step in range(min(LEAST, len(self.ring))):
             server = self.fleet[self.ring[(at + step) % len(self.ring)][1]]
@@ -541,12 +557,14 @@
     def pick(self, sess: Session) -> Server | None:
         now = self.host.now
         bound = sess.may_run_at is not None and sess.listener.repeat is not Repeat.REPEATABLE
-        pool = [s for s in (self.fleet if bound else self.working)
-                if self.fit(s, sess, now) and self.eased(s, now)]  # fmt: skip
+        pool = self.fleet if bound else self.working
+        if len(pool) > LEAST and not bound:
+            pool = self.rng.sample(pool, LEAST)  # the work for one dial does not grow with the fleet
+        pool = [s for s in pool if self.fit(s, sess, now) and self.eased(s, now)]
         pool = [s for s in pool if s not in sess.tried] or pool
         candidates = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
         rest = [s for s in pool if s not in candidates]
-        if not (drawn := [s for s in sess.drawn if s in rest]):
+        if not (drawn := [s for s in sess.drawn if self.fit(s, sess, now) and self.eased(s, now)]):
             sess.drawn = drawn = self.rng.sample(rest, min(2, len(rest)))
         candidates += drawn
         remembered = self.home(sess, now)
@@ -582,7 +600,7 @@
         now, left = self.host.now, sess.give_up - self.host.now
         spent = left <= 0 or sess.dials >= self.most_dials
         spent = spent or sess.dials > 0 and not any(sess.may_go_to(s, now) for s in self.fleet)
-        server = None if spent else self.pick(sess)
+        server = None if spent or self.out >= self.window or now < self.again_at else self.pick(sess)
         if server and self.asking(sess, server, now):
             self.waiting.append(sess)
             return
@@ -597,13 +615,14 @@
             server.arrival.moved += 1
             self.budget.tokens[server] = (self.budget.grow(server, self.fill, now) - 1.0, now)
         else:
-            self.memory = server
+            self.memory[sess.group if self.share_groups else None] = server
         sess.server, sess.placed, sess.dialling, sess.drawn = server, True, True, []
         sess.dials += 1
         sess.tried.append(server)
         if sess.may_run_at is None:
             sess.may_run_since = now
         server.hold(sess)
+        self.out += 1
         self.host.dial(sess.token, server.name, self.dial_time(sess, left))
 
     def asking(self, sess: Session, server: Server, now: float) -> bool:
@@ -620,6 +639,15 @@
             server.strained_at = now
         return True
 
+    def set_up_ended(self, well: bool) -> None:
+        """Set-ups that fail everywhere (a store drowned by a mass restart) are not tried again all at once:
+        the number of dials out follows what works, one more for each that did, half for one that did not;
+        under one at a time they are spaced out."""
+        self.out -= 1
+        self.window = min(OUT_MOST, self.window + 1.0) if well else max(TICK / 2, self.window / 2)
+        if not well and self.window < 1.0:
+            self.again_at = self.host.now + TICK / self.window * self.rng.uniform(0.5, 1.5)
+
     def dial_time(self, sess: Session, left: float) -> float:
         """Dial plan: early dials get the handshake target or thrice what set-ups take in the fleet now, so
         that a slow store does not make every dial fail; the last, and any that can't be repeated, all."""
@@ -639,7 +667,6 @@
 
     def load_told(self, server: Server, load: float) -> None:
         server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
-        self.look()
         if load >= SHED_LOAD and server.readiness is Readiness.IN_SERVICE:
             # More is asked of it than it can do: all its messages are late until some are moved.
             self.hand_off(server, f"load {load:.2f}")
@@ -660,7 +687,8 @@
     def blame(self, server: Server, amount: float) -> None:
         now = self.host.now
         server.blame(amount, now)
-        self.look()
+        if self.bad(server):
+            self.look()
         if server.score(now) >= 2 * DISTRUSTED and self.bad(server) and server in self.fleet:
             # A sick server that nobody drains: the source of the same hand-off.
             self.hand_off(server, f"distrust {server.score(now):.1f}")
