--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -7,12 +7,12 @@
 
 The design (docs/design.md): the lesser, by own connections per size, of two random servers and the one
 remembered best; paced hand-off in four stages when a server drains; the same pace for cold arrivals.
-Beside it stand:
+It works on some servers drawn at random, on a small fleet on all. Beside it stand:
 1. distrust: a score for each server that fades; traffic follows it, a high one starts a hand-off.
-2. dial plan: how long a dial may take, and what follows when it fails.
+2. dial plan: how long a dial may take, how many are out at once, and what follows when one fails.
 3. cold budget: this balancer's own share of what all together may send to a cold server.
 4. list watch: asking for the server list again after a failure, before silence counts as told.
-5. probing: a few probes a second, as the price allows, for the load servers report.
+5. probing: a few probes a second for the load servers report; one before a dial where little is known.
 6. overload refusal: no server is filled past its load; what none may take waits, by utility and customer
    share, and is refused when half its dial timeout is over.
 """
@@ -27,18 +27,9 @@
 from hashlib import blake2b
 from random import Random
 
-from onyxhollow.interface import (
-    Customer,
-    DialEnd,
-    Entry,
-    Host,
-    Listener,
-    ListKind,
-    Readiness,
-    Repeat,
-    Scope,
-    Settings,
-)  # fmt: skip
+from onyxhollow.interface import (  # fmt: skip
+    Customer, DialEnd, Entry, Host, Listener, ListKind, Readiness, Repeat, Scope, Settings,
+)
 
 TICK = 0.05  # the one periodic timer, seconds
 FRESH = 5.0  # a latency figure older than this is none
@@ -52,16 +43,11 @@
 PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
 CHANCE = 3.0  # own connections a server to which differences between servers are mostly chance
-REPORT_AGE = 1.0  # seconds for which a report is good enough to place by
-ASK_FOR = 0.1  # seconds an asked server has to answer in
-OUT_MOST = 64.0  # dials out at once when all goes well
-LEAST = 16  # servers a balancer works with at the least, if there are so many
-MOST = 64  # and at the most
-REVIEW = 0.5  # seconds between two looks at the working set
-EXCHANGE = 10.0  # seconds after which one server of the working set is exchanged
+REPORT_AGE, ASK_FOR = 1.0, 0.1  # seconds: a report good enough to place by; time to answer when asked
+OUT_FIRST, OUT_MOST = 8.0, 64.0  # dials out at once: at first, and when all goes well
+LEAST, MOST = 16, 64  # servers a balancer works with at the least, if there are so many, and at the most
+REVIEW, EXCHANGE = 0.5, 10.0  # seconds from look to look at the working set, and from exchange to exchange
 POINTS = 2  # places on the ring of homes for each unit of size
-
-
 NO_FAULT = (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT, DialEnd.FULL, DialEnd.CONNECT_FAILED)
 
 
@@ -133,17 +119,16 @@
 
     def hold(self, sess: Session) -> None:
         self.connections[sess], self.heard = None, True
-        sess.balancer.held[sess.customer] += 1
         self.groups[sess.group] += 1
+        sess.balancer.held[sess.customer] += 1
 
     def release(self, sess: Session) -> None:
-        if sess not in self.connections:
-            return
-        del self.connections[sess]
-        sess.balancer.held[sess.customer] -= 1
-        self.groups[sess.group] -= 1
-        if self.leaving:
-            self.leaving.pace.moved += 1
+        if sess in self.connections:
+            del self.connections[sess]
+            self.groups[sess.group] -= 1
+            sess.balancer.held[sess.customer] -= 1
+            if self.leaving:
+                self.leaving.pace.moved += 1
 
 
 class Session:
@@ -154,9 +139,8 @@
         self.balancer, self.token, self.listener, self.customer = balancer, token, listener, customer
         self.group, self.give_up, self.load = group, give_up, load
         self.server: Server | None = None
-        self.tried: list[Server] = []
+        self.tried, self.drawn, self.asks = list[Server](), list[Server](), 0
         self.dials, self.dialling, self.standing, self.answered, self.placed = 0, False, False, False, False
-        self.asks, self.drawn = 0, list[Server]()
         self.hold_until, self.news_at, self.may_run_since = (balancer.host.now + give_up) / 2, -math.inf, 0.0
         self.may_run_at: Server | None = None  # the first server on which this session may have run
 
@@ -196,8 +180,6 @@
             self.balancer.load_told(server, load)
         self.balancer.dial_judged(self, server, end, took)
         stood, self.standing = self.standing, False
-        if not stood and self.placed:
-            self.balancer.set_up_ended(end in NO_FAULT)
         if not end.never_ran and not stood and self.may_run_at is None:
             self.may_run_at = server
         if final or stood:
@@ -225,7 +207,7 @@
 class ColdBudget:
     """Rule 4. Own share of the fleet's budget: what fills a warm server of like size with this balancer's
     connections over the warm-up, times the share of its capacity a cold one has by now, times the stated
-    multiple; starts are staggered by the balancer's number, so that whole placements don't fall together."""
+    multiple; starts are staggered by number and server, so that whole placements don't fall together."""
 
     MEMORY = 20.0  # seconds over which the rate of new sessions is averaged
 
@@ -235,8 +217,7 @@
         self.tokens: dict[Server, tuple[float, float]] = {}
 
     def arrived(self, now: float) -> None:
-        self.seen = self.seen * math.exp((self.at - now) / self.MEMORY) + 1.0
-        self.at = now
+        self.seen, self.at = self.seen * math.exp((self.at - now) / self.MEMORY) + 1.0, now
 
     def rate(self, now: float) -> float:
         span = self.MEMORY * (1.0 - math.exp((self.since - now) / self.MEMORY))
@@ -252,7 +233,7 @@
         """How many sessions may go to this server now: one or more is no bar."""
         if not self.cold(server, now):
             return 1.0
-        level, at = self.tokens[server]
+        level, at = self.tokens.get(server, (0.0, now))
         warmth = self.share + (1.0 - self.share) * max(0.0, now - (server.started or 0.0)) / self.time
         rate = fill * server.size / self.time * min(1.0, warmth)
         level = min(1.0, level + (now - at) * rate * self.multiple)
@@ -284,27 +265,24 @@
         self.held: Counter[Customer | None] = Counter()
         self.memory: dict[Hashable, Server] = {}
         self.due: list[tuple[float, int, Callable[[], None]]] = []
-        self.out, self.window, self.again_at = 0, 8.0, host.now  # dials out now; how many may be; when next
+        self.out, self.window, self.again_at = 0, OUT_FIRST, host.now  # dials out; how many may be; when next
         self.counter, self.waiting, self.fill, self.mean, self.bar = 0, list[Session](), 1.0, 0.0, DISTRUSTED
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
         self.retry_after, self.share_groups, self.setting_up = settings.retry_after, settings.groups, Figure()
         self.budget = ColdBudget(settings.cold_share, settings.cold_time, settings.fall_multiple,
                                  settings.me / settings.balancers, host.now)  # fmt: skip
-        self.watched, self.ask_within = settings.watched, settings.ask_within
+        self.ask_within, self.probing = settings.ask_within, settings.probes
         self.list_lost, self.list_failures, self.list_asked = True, 0, -math.inf
         self.probe_price = max(settings.probe_price, 1e-4)
-        if self.watched:
+        if settings.watched:
             self.later(self.rng.uniform(0.0, 0.2), self.ask)
-        self.probing = settings.probes
-        if settings.probes:
+        if self.probing:
             self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
         self.later(EXCHANGE, self.exchange)
         host.wake_at(host.now + TICK)
 
-    # ---- time
-
     def later(self, wait: float, call: Callable[[], None]) -> None:
         self.counter += 1
         heapq.heappush(self.due, (self.host.now + wait, self.counter, call))
@@ -314,60 +292,53 @@
         now = self.host.now
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
-        if self.waiting:
-            # Overload: those of most utility first, less if their customer holds more than its share.
-            def value(sess: Session) -> float:
-                who = sess.customer
-                over = who is not None and 0 < who.connections < self.balancers * self.held[who]
-                return sess.listener.utility * (self.overage_utility if over else 1.0)
-
-            waiting, self.waiting = sorted(self.waiting, key=value, reverse=True), []
-            barred = 0
-            for sess in waiting:
-                # Where two in turn found no place there is none for the rest either.
-                if barred < 2 or now >= sess.hold_until:
-                    self.dial(sess)
-                    barred += sess.asks == 0 and not sess.dialling
-                else:
-                    self.waiting.append(sess)
+        waiting, self.waiting, barred = sorted(self.waiting, key=self.value, reverse=True), [], 0
+        for sess in waiting:
+            # Where two in turn found no place there is none for the rest either.
+            if barred < 2 or now >= sess.hold_until:
+                self.dial(sess)
+                barred += sess.asks == 0 and not sess.dialling
+            else:
+                self.waiting.append(sess)
         self.host.wake_at(now + TICK)
 
+    def value(self, sess: Session) -> float:
+        """Overload: those of most utility first, less if their customer holds more than its share."""
+        who = sess.customer
+        over = who is not None and 0 < who.connections < self.balancers * self.held[who]
+        return sess.listener.utility * (self.overage_utility if over else 1.0)
+
     def review(self) -> None:
-        """What is decided for the working set as a whole, anew every half second."""
         self.draw_working()
         self.look()
         self.later(REVIEW, self.review)
 
     def look(self) -> None:
+        """What is decided for the working set as a whole."""
         now = self.host.now
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
         scores = sorted(s.score(now) for s in self.working)
         self.bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
         heard = [s for s in self.working if s.heard and not s.arrival]
-        size = sum(s.size for s in heard)
-        self.mean = sum(len(s.connections) for s in heard) / size if size else 0.0
+        self.mean = sum(len(s.connections) for s in heard) / (sum(s.size for s in heard) or 1.0)
         # Own connections per size that fill a server: with few a server only their sum tells, over the load
-        # that servers report on the whole; lacking reports, what new ones a server gets over a warm-up.
+        # that servers report on the whole; lacking any, what new ones a server gets over a warm-up.
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
         load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
-        fresh = self.budget.rate(now) * self.budget.time / self.size
-        self.fill = self.usual / max(0.25, load) or fresh
-
-    # ---- the working set
+        self.fill = self.usual / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
 
     def draw_working(self) -> None:
         """Servers drawn at random from the fleet, as many as reports and own connections tell something of;
         those that are gone, distrusted or strained are replaced. On a small fleet all of it."""
-        self.size = sum(s.size for s in self.fleet if not s.arrival) or 1.0
-        self.usual = sum(self.held.values()) / self.size  # own connections per size, all servers alike
+        self.size, own = sum(s.size for s in self.fleet if not s.arrival) or 1.0, sum(self.held.values())
+        self.usual = own / self.size  # own connections per size, all servers alike
         known = LOAD_KEPT * PROBE_POINTS / self.probe_price * self.budget.rate(self.host.now)
-        self.breadth = min(MOST, max(LEAST, math.ceil(known), sum(self.held.values()) // 4))
-        if self.breadth >= len(self.fleet):
+        breadth = min(MOST, max(LEAST, math.ceil(known), own // 4))
+        if breadth >= len(self.fleet):
             self.working = list(self.fleet)
             return
-        fit = [s for s in self.working if s.readiness is Readiness.IN_SERVICE
-               and not self.bad(s) and not self.strained(s)]  # fmt: skip
-        while len(fit) < self.breadth:
+        fit = [s for s in self.working if s in self.fleet and not self.bad(s) and not self.strained(s)]
+        while len(fit) < breadth:
             if (server := self.rng.choice(self.fleet)) not in fit:
                 fit.append(server)
         self.working = fit
@@ -382,8 +353,6 @@
     def bad(self, server: Server) -> bool:
         return server.score(self.host.now) > self.bar
 
-    # ---- the server list
-
     def ask(self) -> None:
         if self.list_lost and self.host.now - self.list_asked > self.ask_within / 4:
             self.list_asked = self.host.now
@@ -395,10 +364,9 @@
             self.list_lost, self.list_failures, self.list_asked = True, self.list_failures + 1, -math.inf
             # All balancers lose the list at once: spread, growing waits keep them from drowning it.
             longest = min(self.ask_within / 4, 0.25 * 2 ** min(9, self.list_failures))
-            wait = longest * self.rng.uniform(0.5, 1.0)
             if self.list_failures == 1:
-                self.host.log(f"list lost: asking again in {wait:.2f} s")
-            self.later(wait, self.ask)
+                self.host.log(f"list lost: asking again within {longest:.2f} s")
+            self.later(longest * self.rng.uniform(0.5, 1.0), self.ask)
             return
         if kind is not ListKind.CACHED:
             if self.list_failures:
@@ -413,8 +381,7 @@
         for name in sorted(absent):
             self.leave(self.servers[name], Readiness.GONE)
         self.fleet = [s for s in self.servers.values() if s.readiness is Readiness.IN_SERVICE]
-        if self.share_groups:
-            self.ring = sorted((place, n) for n, s in enumerate(self.fleet) for place in s.places)
+        self.ring = sorted((place, n) for n, s in enumerate(self.fleet) for place in s.places)
         for server in joined:
             # Each newcomer is in as many working sets as any other server is.
             if self.rng.random() * len(self.fleet) < len(self.working) and server not in self.working:
@@ -430,18 +397,20 @@
         before = server.started if server else None
         joined = server.readiness is not Readiness.IN_SERVICE if server else not first
         server = server or self.servers.setdefault(entry.name, Server(entry))
-        restarted = entry.started is not None and entry.started != before
         if entry.readiness is not Readiness.IN_SERVICE:
             self.leave(server, entry.readiness)
             return False
         server.learn(entry)
-        if restarted and self.budget.cold(server, now) or joined:
-            # A returner starts anew: what was known of it before its restart says nothing.
-            server.leaving, server.distrust = None, 0.0
-            self.budget.open(server, now)
-            self.arrive(server, self.mean * server.size)
-            return True
-        return False
+        if not joined and (entry.started == before or not self.budget.cold(server, now)):
+            return False
+        # A returner starts anew: what was known of it before its restart says nothing.
+        server.leaving, server.distrust, share = None, 0.0, self.mean * server.size
+        self.budget.open(server, now)
+        # Of many balancers with less than one connection a server, as many as the share says place one.
+        server.arrival = Pace(int(share + self.rng.random()))
+        why = "cold" if self.budget.cold(server, now) else "back"
+        self.host.log(f"arrival {server.name}: {why}, size {server.size:g}, share {share:.1f}")
+        return True
 
     def leave(self, server: Server, readiness: Readiness) -> None:
         news = server.readiness is Readiness.IN_SERVICE
@@ -463,8 +432,6 @@
     def strained(self, server: Server) -> bool:
         return self.host.now - server.strained_at < STRAIN_FOR or self.load_of(server) >= FULL_LOAD
 
-    # ---- latency, as the design compares it
-
     def compare(self, source: tuple[float | None, float | None],
                 receivers: list[Server]) -> tuple[float | None, float | None]:  # fmt: skip
         """Source and receivers by message delay where both sides report one, else by set-up time."""
@@ -476,14 +443,11 @@
                 return mine, sum(figures) / len(figures)
         return None, None
 
-    # ---- staged pace
-
     def hand_off(self, source: Server, why: str) -> None:
-        if not source.connections or source.leaving and source.readiness is Readiness.IN_SERVICE:
-            return
-        source.leaving = HandOff(source, self.host.now)
-        self.host.log(f"hand-off {source.name}: {why}, own connections {source.leaving.pace.count}")
-        self.step_hand_off(source.leaving)
+        if source.connections and not (source.leaving and source.readiness is Readiness.IN_SERVICE):
+            source.leaving = HandOff(source, self.host.now)
+            self.host.log(f"hand-off {source.name}: {why}, own connections {source.leaving.pace.count}")
+            self.step_hand_off(source.leaving)
 
     def step_hand_off(self, off: HandOff) -> None:
         source, pace, now = off.source, off.pace, self.host.now
@@ -493,8 +457,7 @@
         mended = serving and source.score(now) < DISTRUSTED / 2 and self.load_of(source) < SHED_LOAD
         if mended or not source.connections:
             self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
-            if serving:
-                source.leaving = None
+            source.leaving = None if serving else off
             return
         delay = source.delay.fresh(now)
         receivers = [s for s in self.working if s is not source and not s.leaving and not self.strained(s)]
@@ -505,16 +468,9 @@
             self.host.move(sess.token)
         self.later(1.0, lambda: self.step_hand_off(off))
 
-    def arrive(self, server: Server, share: float) -> None:
-        # Of many balancers with less than one connection a server, as many as the share says place one.
-        server.arrival = Pace(int(share + self.rng.random()))
-        why = "cold" if self.budget.cold(server, self.host.now) else "back"
-        self.host.log(f"arrival {server.name}: {why}, size {server.size:g}, share {share:.1f}")
-
     def eased(self, server: Server, now: float) -> bool:
         """Whether a server that arrives may get one more: the staged pace, and the cold budget."""
-        pace = server.arrival
-        if pace is None:
+        if (pace := server.arrival) is None:
             return True
         if pace.moved >= pace.count and not self.budget.cold(server, now):
             server.arrival = None
@@ -526,8 +482,6 @@
             pace.at, pace.credit = now, pace.credit or max(1, pace.allowance(figures[1], figures[0]))
         return pace.credit > 0 and self.budget.grow(server, self.fill, now) >= 1
 
-    # ---- the pick
-
     def weight(self, server: Server, group: Hashable, home: Server | None, now: float) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
         due = server.arrival and server.arrival.moved < server.arrival.count
@@ -556,26 +510,26 @@
 
     def pick(self, sess: Session) -> Server | None:
         now = self.host.now
+
+        def open_to(servers: Iterable[Server]) -> list[Server]:
+            return [s for s in servers if self.fit(s, sess, now) and self.eased(s, now)]
+
         bound = sess.may_run_at is not None and sess.listener.repeat is not Repeat.REPEATABLE
         pool = self.fleet if bound else self.working
         if len(pool) > LEAST and not bound:
             pool = self.rng.sample(pool, LEAST)  # the work for one dial does not grow with the fleet
-        pool = [s for s in pool if self.fit(s, sess, now) and self.eased(s, now)]
+        pool = open_to(pool)
         pool = [s for s in pool if s not in sess.tried] or pool
-        candidates = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
-        rest = [s for s in pool if s not in candidates]
-        if not (drawn := [s for s in sess.drawn if self.fit(s, sess, now) and self.eased(s, now)]):
-            sess.drawn = drawn = self.rng.sample(rest, min(2, len(rest)))
-        candidates += drawn
-        remembered = self.home(sess, now)
-        if remembered and remembered not in sess.tried and self.fit(remembered, sess, now) \
-                and self.eased(remembered, now):
-            candidates.insert(0, remembered)
-        if not candidates:
+        arriving = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
+        rest = [s for s in pool if s not in arriving]
+        sess.drawn = open_to(sess.drawn) or self.rng.sample(rest, min(2, len(rest)))
+        home = self.home(sess, now)
+        if home is None and sess.group is not None and self.share_groups and len(self.fleet) > LEAST:
+            # Strewn over the fleet, each group's work is paid for everywhere: a jam that feeds itself.
             return None
-        return min(candidates, key=lambda s: self.weight(s, sess.group, remembered, now))
-
-    # ---- sessions
+        candidates = open_to([home]) if home and home not in sess.tried else []
+        candidates += arriving + sess.drawn
+        return min(candidates, key=lambda s: self.weight(s, sess.group, home, now), default=None)
 
     def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
              time_left: float, load: float | None) -> Session:  # fmt: skip
@@ -601,10 +555,7 @@
         spent = left <= 0 or sess.dials >= self.most_dials
         spent = spent or sess.dials > 0 and not any(sess.may_go_to(s, now) for s in self.fleet)
         server = None if spent or self.out >= self.window or now < self.again_at else self.pick(sess)
-        if server and self.asking(sess, server, now):
-            self.waiting.append(sess)
-            return
-        if server is None:
+        if server is None or self.asking(sess, server, now):
             if not spent and now < sess.hold_until:
                 self.waiting.append(sess)  # all servers are cold or strained, or the list is empty
             else:
@@ -617,22 +568,20 @@
         else:
             self.memory[sess.group if self.share_groups else None] = server
         sess.server, sess.placed, sess.dialling, sess.drawn = server, True, True, []
-        sess.dials += 1
+        sess.dials, self.out = sess.dials + 1, self.out + 1
         sess.tried.append(server)
         if sess.may_run_at is None:
             sess.may_run_since = now
         server.hold(sess)
-        self.out += 1
         self.host.dial(sess.token, server.name, self.dial_time(sess, left))
 
     def asking(self, sess: Session, server: Server, now: float) -> bool:
         """Where own connections are too few to tell how full servers are, the one picked is asked before a
         dial; one that does not answer soon is passed over for a while."""
-        if not self.probing or self.usual * self.size > CHANCE * len(self.fleet) or sess.asks > 3:
-            return False
-        if now - server.load_at < REPORT_AGE:
+        sparse = self.probing and self.usual * self.size <= CHANCE * len(self.fleet)
+        if not sparse or now - server.load_at < REPORT_AGE:
             return False
-        if now - server.probed_at >= REPORT_AGE:
+        if now - server.probed_at >= REPORT_AGE and sess.asks < 4:
             sess.asks, server.probed_at = sess.asks + 1, now
             self.host.probe(server.name)
         elif now - server.probed_at >= ASK_FOR:
@@ -663,8 +612,6 @@
         else:
             self.host.tear_down(sess.token)
 
-    # ---- what is learnt
-
     def load_told(self, server: Server, load: float) -> None:
         server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
         if load >= SHED_LOAD and server.readiness is Readiness.IN_SERVICE:
@@ -673,6 +620,8 @@
 
     def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
         now = self.host.now
+        if not sess.standing and sess.placed:
+            self.set_up_ended(end in NO_FAULT)
         if end in (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT):
             return
         if not sess.standing:
@@ -689,17 +638,15 @@
         server.blame(amount, now)
         if self.bad(server):
             self.look()
-        if server.score(now) >= 2 * DISTRUSTED and self.bad(server) and server in self.fleet:
-            # A sick server that nobody drains: the source of the same hand-off.
-            self.hand_off(server, f"distrust {server.score(now):.1f}")
-
-    # ---- probing
+            if server.score(now) >= 2 * DISTRUSTED and self.bad(server) and server in self.fleet:
+                # A sick server that nobody drains: the source of the same hand-off.
+                self.hand_off(server, f"distrust {server.score(now):.1f}")
 
     def probe_round(self) -> None:
         now = self.host.now
         rate = PROBE_POINTS / self.probe_price * self.budget.rate(now)
         if any(now - s.strained_at < LOAD_KEPT for s in self.working):
-            # In trouble reports are worth their price: with many servers the calm rate leaves most unknown.
+            # In trouble reports are worth more: with many servers the calm rate leaves most unknown.
             rate = max(rate, min(len(self.working) / 2.0, 4.0 * rate))
         if self.working:
             # The longest unprobed first, distrusted ones sooner.
