--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -27,9 +27,8 @@
 from hashlib import blake2b
 from random import Random
 
-from onyxhollow.interface import (  # fmt: skip
-    Customer, DialEnd, Entry, Host, Listener, ListKind, Readiness, Repeat, Scope, Settings,
-)
+from onyxhollow.interface import Customer, DialEnd, Entry, Host, Listener, ListKind  # isort: skip
+from onyxhollow.interface import Readiness, Repeat, Scope, Settings  # isort: skip
 
 TICK = 0.05  # the one periodic timer, seconds
 FRESH = 5.0  # a latency figure older than this is none
@@ -332,6 +331,7 @@
         those that are gone, distrusted or strained are replaced. On a small fleet all of it."""
         self.size, own = sum(s.size for s in self.fleet if not s.arrival) or 1.0, sum(self.held.values())
         self.usual = own / self.size  # own connections per size, all servers alike
+        self.sparse = own <= CHANCE * len(self.fleet)
         known = LOAD_KEPT * PROBE_POINTS / self.probe_price * self.budget.rate(self.host.now)
         breadth = min(MOST, max(LEAST, math.ceil(known), own // 4))
         if breadth >= len(self.fleet):
@@ -524,7 +524,7 @@
         rest = [s for s in pool if s not in arriving]
         sess.drawn = open_to(sess.drawn) or self.rng.sample(rest, min(2, len(rest)))
         home = self.home(sess, now)
-        if home is None and sess.group is not None and self.share_groups and len(self.fleet) > LEAST:
+        if home is None and sess.group is not None and self.share_groups and self.sparse:
             # Strewn over the fleet, each group's work is paid for everywhere: a jam that feeds itself.
             return None
         candidates = open_to([home]) if home and home not in sess.tried else []
@@ -578,8 +578,7 @@
     def asking(self, sess: Session, server: Server, now: float) -> bool:
         """Where own connections are too few to tell how full servers are, the one picked is asked before a
         dial; one that does not answer soon is passed over for a while."""
-        sparse = self.probing and self.usual * self.size <= CHANCE * len(self.fleet)
-        if not sparse or now - server.load_at < REPORT_AGE:
+        if not self.sparse or not self.probing or now - server.load_at < REPORT_AGE:
             return False
         if now - server.probed_at >= REPORT_AGE and sess.asks < 4:
             sess.asks, server.probed_at = sess.asks + 1, now
