--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -94,6 +94,7 @@
     """What one balancer knows of one server."""
 
     def __init__(self, entry: Entry) -> None:
+        self.places: list[float] = []  # on the ring of homes
         self.learn(entry)
         self.connections: dict[Session, None] = {}  # dials out and connections open, in order of placing
         self.groups: Counter[Hashable] = Counter()
@@ -108,7 +109,8 @@
     def learn(self, entry: Entry) -> None:
         self.name, self.readiness, self.started = entry.name, Readiness.IN_SERVICE, entry.started
         self.size, self.zone, self.cell = entry.size, entry.zone, entry.cell
-        self.places = [draw(self.name, n) for n in range(min(32, math.ceil(POINTS * self.size)))]
+        if len(self.places) != (count := min(32, math.ceil(POINTS * self.size))):
+            self.places = [draw(self.name, n) for n in range(count)]
 
     def score(self, now: float) -> float:
         return self.distrust and self.distrust * math.exp((self.distrust_at - now) / FADE)
@@ -292,13 +294,15 @@
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
         waiting, self.waiting, barred = sorted(self.waiting, key=self.value, reverse=True), [], 0
+        later: list[Session] = []
         for sess in waiting:
-            # Where two in turn found no place there is none for the rest either.
-            if barred < 2 or now >= sess.hold_until:
+            # Where some in turn found no place the rest are looked at in the next ticks.
+            if barred < 4 or now >= sess.hold_until:
                 self.dial(sess)
-                barred += sess.asks == 0 and not sess.dialling
+                barred += not sess.answered and not sess.dialling
             else:
-                self.waiting.append(sess)
+                later.append(sess)
+        self.waiting = later + self.waiting
         self.host.wake_at(now + TICK)
 
     def value(self, sess: Session) -> float:
@@ -505,8 +509,8 @@
         return None
 
     def fit(self, server: Server, sess: Session, now: float) -> bool:
-        return (server.readiness is Readiness.IN_SERVICE and not server.leaving and not self.bad(server)
-                and not self.strained(server) and sess.may_go_to(server, now))  # fmt: skip
+        return (server.readiness is Readiness.IN_SERVICE and not server.leaving and not self.strained(server)
+                and not self.bad(server) and sess.may_go_to(server, now))  # fmt: skip
 
     def pick(self, sess: Session) -> Server | None:
         now = self.host.now
@@ -514,19 +518,19 @@
         def open_to(servers: Iterable[Server]) -> list[Server]:
             return [s for s in servers if self.fit(s, sess, now) and self.eased(s, now)]
 
+        home = self.home(sess, now)
+        if home is None and sess.group is not None and self.share_groups and self.sparse:
+            # Strewn over the fleet, each group's work is paid for everywhere: a jam that feeds itself.
+            return None
         bound = sess.may_run_at is not None and sess.listener.repeat is not Repeat.REPEATABLE
         pool = self.fleet if bound else self.working
         if len(pool) > LEAST and not bound:
-            pool = self.rng.sample(pool, LEAST)  # the work for one dial does not grow with the fleet
+            pool = self.rng.sample(pool, LEAST // 2)  # the work for one dial does not grow with the fleet
         pool = open_to(pool)
         pool = [s for s in pool if s not in sess.tried] or pool
         arriving = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
         rest = [s for s in pool if s not in arriving]
         sess.drawn = open_to(sess.drawn) or self.rng.sample(rest, min(2, len(rest)))
-        home = self.home(sess, now)
-        if home is None and sess.group is not None and self.share_groups and self.sparse:
-            # Strewn over the fleet, each group's work is paid for everywhere: a jam that feeds itself.
-            return None
         candidates = open_to([home]) if home and home not in sess.tried else []
         candidates += arriving + sess.drawn
         return min(candidates, key=lambda s: self.weight(s, sess.group, home, now), default=None)
