--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -9,7 +9,7 @@
 remembered best; paced hand-off in four stages when a server drains; the same pace for cold arrivals.
 It works on some servers drawn at random, on a small fleet on all. Beside it stand:
 1. distrust: a score for each server that fades; traffic follows it, a high one starts a hand-off.
-2. dial plan: how long a dial may take, and what follows when it fails.
+2. dial plan: how long a dial may take, how many are out at once, and what follows when one fails.
 3. cold budget: this balancer's own share of what all together may send to a cold server.
 4. list watch: asking for the server list again after a failure, before silence counts as told.
 5. probing: a few probes a second for the load servers report; one before a dial where little is known.
@@ -43,9 +43,11 @@
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
 CHANCE = 3.0  # own connections a server to which differences between servers are mostly chance
 REPORT_AGE, ASK_FOR = 1.0, 0.1  # seconds: a report good enough to place by; time to answer when asked
+OUT_FIRST, OUT_MOST = 8.0, 64.0  # dials out at once: at first, and when all goes well
 LEAST, MOST = 16, 64  # servers a balancer works with at the least, if there are so many, and at the most
 REVIEW, EXCHANGE = 0.5, 10.0  # seconds from look to look at the working set, and from exchange to exchange
 POINTS = 2  # places on the ring of homes for each unit of size
+NO_FAULT = (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT, DialEnd.FULL, DialEnd.CONNECT_FAILED)
 
 
 def draw(*names: Hashable) -> float:
@@ -149,6 +151,7 @@
         if server is None or self.answered:
             return
         self.standing = self.answered = True
+        self.balancer.set_up_ended(True)
         server.set_up.add(took, now)
         self.balancer.setting_up.add(took, now)
         server.blame(-0.3 * server.score(now), now)
@@ -263,6 +266,7 @@
         self.held: Counter[Customer | None] = Counter()
         self.memory: dict[Hashable, Server] = {}
         self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.out, self.window, self.again_at = 0, OUT_FIRST, host.now  # dials out; how many may be; when next
         self.counter, self.waiting, self.fill, self.mean, self.bar = 0, list[Session](), 1.0, 0.0, DISTRUSTED
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
@@ -318,17 +322,21 @@
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
         scores = sorted(s.score(now) for s in self.working)
         self.bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
+        heard = [s for s in self.working if s.heard and not s.arrival]
+        self.mean = sum(len(s.connections) for s in heard) / (sum(s.size for s in heard) or 1.0)
         # Own connections per size that fill a server: with few a server only their sum tells, over the load
         # that servers report on the whole; lacking any, what new ones a server gets over a warm-up.
+        fit = sum(not self.bad(s) and not self.strained(s) for s in self.working)
+        self.open_share = fit / max(1, len(self.working))  # of the servers, those with room
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
         load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
-        self.fill = self.mean / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
+        self.fill = self.usual / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
 
     def draw_working(self) -> None:
         """Servers drawn at random from the fleet, as many as reports and own connections tell something of;
         those that are gone, distrusted or strained are replaced. On a small fleet all of it."""
         self.size, own = sum(s.size for s in self.fleet if not s.arrival) or 1.0, sum(self.held.values())
-        self.mean = own / self.size  # own connections per size
+        self.usual = own / self.size  # own connections per size, all servers alike
         self.sparse = own <= CHANCE * len(self.fleet)
         known = LOAD_KEPT * PROBE_POINTS / self.probe_price * self.budget.rate(self.host.now)
         breadth = min(MOST, max(LEAST, math.ceil(known), own // 4))
@@ -423,7 +431,7 @@
             return 0.0
         if not (more := len(server.connections) - server.load_count):
             return server.load
-        own = self.mean * server.size
+        own = self.usual * server.size
         alike = (1.0 + (self.balancers - 1.0) * own / (own + CHANCE)) / self.balancers
         return server.load + more * alike / max(self.fill * server.size, 1.0 / self.balancers)
 
@@ -552,7 +560,7 @@
         now, left = self.host.now, sess.give_up - self.host.now
         spent = left <= 0 or sess.dials >= self.most_dials
         spent = spent or sess.dials > 0 and not any(sess.may_go_to(s, now) for s in self.fleet)
-        server = None if spent else self.pick(sess)
+        server = None if spent or self.out >= self.window or now < self.again_at else self.pick(sess)
         if server is None or self.asking(sess, server, now):
             if not spent and now < sess.hold_until:
                 self.waiting.append(sess)  # all servers are cold or strained, or the list is empty
@@ -566,7 +574,7 @@
         else:
             self.memory[sess.group if self.share_groups else None] = server
         sess.server, sess.placed, sess.dialling, sess.drawn = server, True, True, []
-        sess.dials += 1
+        sess.dials, self.out = sess.dials + 1, self.out + 1
         sess.tried.append(server)
         if sess.may_run_at is None:
             sess.may_run_since = now
@@ -576,8 +584,16 @@
     def asking(self, sess: Session, server: Server, now: float) -> bool:
         """Where own connections are too few to tell how full servers are, the one picked is asked before a
         dial; one that does not answer soon is passed over for a while."""
-        if not self.sparse or not self.probing or now - server.load_at < REPORT_AGE:
+        if not self.sparse or not self.probing:
             return False
+        if now - server.load_at < REPORT_AGE:
+            # Many balancers that see the same room all fill it: each takes its part by chance, as if alike.
+            room = (FULL_LOAD - self.load_of(server)) * self.fill * server.size
+            crowd = self.budget.rate(now) * REPORT_AGE / max(1.0, self.open_share * len(self.fleet))
+            if self.rng.random() * crowd <= room:
+                return False
+            server.strained_at = now
+            return True
         if now - server.probed_at >= REPORT_AGE and sess.asks < 4:
             sess.asks, server.probed_at = sess.asks + 1, now
             self.host.probe(server.name)
@@ -585,6 +601,15 @@
             server.strained_at = now
         return True
 
+    def set_up_ended(self, well: bool) -> None:
+        """Set-ups that fail everywhere (a store drowned by a mass restart) are not tried again all at once:
+        the number of dials out follows what works, one more for each that did, half for one that did not;
+        under one at a time they are spaced out."""
+        self.out -= 1
+        self.window = min(OUT_MOST, self.window + 1.0) if well else max(TICK / 2, self.window / 2)
+        if not well and self.window < 1.0:
+            self.again_at = self.host.now + TICK / self.window * self.rng.uniform(0.5, 1.5)
+
     def dial_time(self, sess: Session, left: float) -> float:
         """Dial plan: early dials get the handshake target or thrice what set-ups take in the fleet now, so
         that a slow store does not make every dial fail; the last, and any that can't be repeated, all."""
@@ -608,6 +633,8 @@
 
     def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
         now = self.host.now
+        if not sess.standing and sess.placed:
+            self.set_up_ended(end in NO_FAULT)
         if end in (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT):
             return
         if not sess.standing:
