--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -1,20 +1,18 @@
 """All decisions of onyxhollow.
 
-How it is called: a host (see Host in onyxhollow/interface.py, where all types that cross the door are
-defined) makes one Balancer an instance, hands it the server list (server_list), new sessions (take),
-connections already open (adopt), probe results (probed) and its one timer (tick). take returns a Session;
-all that happens to it later is a call on that Session.
+A host (onyxhollow/interface.py: Host, and all types that cross the door) makes one Balancer an instance and
+hands it the server list (server_list), new sessions (take), connections already open (adopt), probe results
+(probed) and its one timer (tick). take returns a Session; all that happens to it later is a call on it.
 
 The design (docs/design.md): the lesser, by own connections per size, of two random servers and the one
-remembered best; paced hand-off in four stages when a server drains; the same pace for cold arrivals.
-It works on some servers drawn at random, on a small fleet on all. Beside it stand:
+remembered best; hand-off in four stages when a server drains; the same pace for cold arrivals; all of it on
+some servers drawn at random, on a small fleet on all. Beside it stand:
 1. distrust: a score for each server that fades; traffic follows it, a high one starts a hand-off.
-2. dial plan: how long a dial may take, how many are out at once, and what follows when one fails.
+2. dial plan: how long a dial may take, and what follows when it fails.
 3. cold budget: this balancer's own share of what all together may send to a cold server.
 4. list watch: asking for the server list again after a failure, before silence counts as told.
 5. probing: a few probes a second for the load servers report; one before a dial where little is known.
-6. overload refusal: no server is filled past its load; what none may take waits, by utility and customer
-   share, and is refused when half its dial timeout is over.
+6. overload refusal: no server is filled past its load; what none may take waits, and is then refused.
 """
 
 from __future__ import annotations
@@ -31,23 +29,18 @@
 from onyxhollow.interface import Readiness, Repeat, Scope, Settings  # isort: skip
 
 TICK = 0.05  # the one periodic timer, seconds
-FRESH = 5.0  # a latency figure older than this is none
-SMOOTHING = 0.3  # weight of the newest latency figure
-FADE = 7.0  # seconds in which distrust falls to a third
-DISTRUSTED = 2.0  # above this, and above twice the fleet's median, a server gets nothing if others can
+FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
+FADE, DISTRUSTED = 7.0, 2.0  # seconds in which distrust falls to a third; score that bars a server
 STRAIN_FOR = 1.5  # seconds for which word of overload keeps new sessions off a server
-FULL_LOAD = 0.65  # reported load over capacity from which a server gets nothing new
-SHED_LOAD = 0.95  # and from which its connections are moved off it
+FULL_LOAD, SHED_LOAD = 0.65, 0.95  # load over capacity: nothing new from here; from here moved off
 LOAD_KEPT = 8.0  # seconds for which a reported load is carried on
 PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
 CHANCE = 3.0  # own connections a server to which differences between servers are mostly chance
 REPORT_AGE, ASK_FOR = 1.0, 0.1  # seconds: a report good enough to place by; time to answer when asked
-OUT_FIRST, OUT_MOST = 8.0, 64.0  # dials out at once: at first, and when all goes well
 LEAST, MOST = 16, 64  # servers a balancer works with at the least, if there are so many, and at the most
 REVIEW, EXCHANGE = 0.5, 10.0  # seconds from look to look at the working set, and from exchange to exchange
 POINTS = 2  # places on the ring of homes for each unit of size
-NO_FAULT = (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT, DialEnd.FULL, DialEnd.CONNECT_FAILED)
 
 
 def draw(*names: Hashable) -> float:
@@ -58,7 +51,6 @@
 
 class Figure:
     """A smoothed figure that goes stale."""
-
     def __init__(self) -> None:
         self.value, self.at = 0.0, -math.inf
 
@@ -151,7 +143,6 @@
         if server is None or self.answered:
             return
         self.standing = self.answered = True
-        self.balancer.set_up_ended(True)
         server.set_up.add(took, now)
         self.balancer.setting_up.add(took, now)
         server.blame(-0.3 * server.score(now), now)
@@ -188,12 +179,6 @@
         elif not self.answered:
             self.balancer.dial(self)
 
-    def may_refuse(self) -> bool:
-        """Rule 2: a refusal promises that coming again is harmless."""
-        repeat = self.listener.repeat
-        return (self.may_run_at is None or repeat is Repeat.REPEATABLE
-                or repeat is Repeat.REFERENCED and self.listener.scope is Scope.ALL)  # fmt: skip
-
     def may_go_to(self, server: Server, now: float) -> bool:
         """Rule 2: whether a dial to this server can not make anything run twice."""
         first, listener = self.may_run_at, self.listener
@@ -224,9 +209,6 @@
         span = self.MEMORY * (1.0 - math.exp((self.since - now) / self.MEMORY))
         return self.seen * math.exp((self.at - now) / self.MEMORY) / max(span, 1.0)
 
-    def open(self, server: Server, now: float) -> None:
-        self.tokens[server] = ((self.phase + draw(server.name)) % 1.0, now)
-
     def cold(self, server: Server, now: float) -> bool:
         return server.started is not None and now - server.started < self.time
 
@@ -249,11 +231,6 @@
         self.source, self.pace = source, Pace(len(source.connections))
         self.delay, self.set_up = source.delay.fresh(now), source.set_up.fresh(now)  # before the notice
 
-    def movable(self) -> list[Session]:
-        """Those this balancer placed; idle first, read as little load and no recent word of it."""
-        own = [s for s in self.source.connections if s.standing and s.placed]
-        return sorted(own, key=lambda s: (math.inf if s.load is None else s.load, s.news_at))
-
 
 class Balancer:
     """One instance: everything one proxy knows and decides."""
@@ -266,7 +243,6 @@
         self.held: Counter[Customer | None] = Counter()
         self.memory: dict[Hashable, Server] = {}
         self.due: list[tuple[float, int, Callable[[], None]]] = []
-        self.out, self.window, self.again_at = 0, OUT_FIRST, host.now  # dials out; how many may be; when next
         self.counter, self.waiting, self.fill, self.mean, self.bar = 0, list[Session](), 1.0, 0.0, DISTRUSTED
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
@@ -274,14 +250,12 @@
         self.budget = ColdBudget(settings.cold_share, settings.cold_time, settings.fall_multiple,
                                  settings.me / settings.balancers, host.now)  # fmt: skip
         self.ask_within, self.probing = settings.ask_within, settings.probes
-        self.list_lost, self.list_failures, self.list_asked = True, 0, -math.inf
+        self.list_lost, self.list_failures = settings.watched, 0
+        self.ask_at = host.now + self.rng.uniform(0.0, 0.2)
         self.probe_price = max(settings.probe_price, 1e-4)
-        if settings.watched:
-            self.later(self.rng.uniform(0.0, 0.2), self.ask)
         if self.probing:
             self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
-        self.later(EXCHANGE, self.exchange)
         host.wake_at(host.now + TICK)
 
     def later(self, wait: float, call: Callable[[], None]) -> None:
@@ -291,13 +265,16 @@
     def tick(self) -> None:
         """The one periodic timer: does what has fallen due."""
         now = self.host.now
+        if self.list_lost and now >= self.ask_at:
+            self.ask_at = now + self.ask_within / 2  # no word at all counts as a failure
+            self.host.watch()
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
         waiting, self.waiting, barred = sorted(self.waiting, key=self.value, reverse=True), [], 0
         later: list[Session] = []
         for sess in waiting:
             # Where some in turn found no place the rest are looked at in the next ticks.
-            if barred < 4 or now >= sess.hold_until:
+            if barred < 2 or now >= sess.hold_until:
                 self.dial(sess)
                 barred += not sess.answered and not sess.dialling
             else:
@@ -312,8 +289,10 @@
         return sess.listener.utility * (self.overage_utility if over else 1.0)
 
     def review(self) -> None:
+        if self.rng.random() < REVIEW / EXCHANGE and len(self.working) < len(self.fleet):
+            # Now and then one server makes room for another; no connection is moved.
+            del self.working[self.rng.randrange(len(self.working))]
         self.draw_working()
-        self.look()
         self.later(REVIEW, self.review)
 
     def look(self) -> None:
@@ -322,101 +301,82 @@
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
         scores = sorted(s.score(now) for s in self.working)
         self.bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
-        heard = [s for s in self.working if s.heard and not s.arrival]
-        self.mean = sum(len(s.connections) for s in heard) / (sum(s.size for s in heard) or 1.0)
         # Own connections per size that fill a server: with few a server only their sum tells, over the load
         # that servers report on the whole; lacking any, what new ones a server gets over a warm-up.
         fit = sum(not self.bad(s) and not self.strained(s) for s in self.working)
         self.open_share = fit / max(1, len(self.working))  # of the servers, those with room
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
         load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
-        self.fill = self.usual / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
+        self.fill = self.mean / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
+        self.fill = max(self.fill, 1.0 / self.size)
 
     def draw_working(self) -> None:
         """Servers drawn at random from the fleet, as many as reports and own connections tell something of;
         those that are gone, distrusted or strained are replaced. On a small fleet all of it."""
         self.size, own = sum(s.size for s in self.fleet if not s.arrival) or 1.0, sum(self.held.values())
-        self.usual = own / self.size  # own connections per size, all servers alike
+        self.mean = own / self.size  # own connections per size, all servers alike
         self.sparse = own <= CHANCE * len(self.fleet)
         known = LOAD_KEPT * PROBE_POINTS / self.probe_price * self.budget.rate(self.host.now)
         breadth = min(MOST, max(LEAST, math.ceil(known), own // 4))
         if breadth >= len(self.fleet):
             self.working = list(self.fleet)
-            return
-        fit = [s for s in self.working if s in self.fleet and not self.bad(s) and not self.strained(s)]
-        while len(fit) < breadth:
-            if (server := self.rng.choice(self.fleet)) not in fit:
-                fit.append(server)
-        self.working = fit
-
-    def exchange(self) -> None:
-        """Now and then one server of the working set makes room for another; no connection is moved."""
-        if len(self.working) < len(self.fleet):
-            del self.working[self.rng.randrange(len(self.working))]
-            self.draw_working()
-        self.later(EXCHANGE, self.exchange)
+        else:
+            self.working = [s for s in self.working if s.readiness is Readiness.IN_SERVICE
+                            and not self.bad(s) and not self.strained(s)]  # fmt: skip
+            while len(self.working) < breadth:
+                if (server := self.rng.choice(self.fleet)) not in self.working:
+                    self.working.append(server)
+        self.look()
 
     def bad(self, server: Server) -> bool:
         return server.score(self.host.now) > self.bar
 
-    def ask(self) -> None:
-        if self.list_lost and self.host.now - self.list_asked > self.ask_within / 4:
-            self.list_asked = self.host.now
-            self.host.watch()
-            self.later(self.ask_within / 2, self.ask)  # no word at all counts as a failure
-
     def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
         if kind is ListKind.FAILED:
-            self.list_lost, self.list_failures, self.list_asked = True, self.list_failures + 1, -math.inf
+            self.list_lost, self.list_failures = True, self.list_failures + 1
             # All balancers lose the list at once: spread, growing waits keep them from drowning it.
             longest = min(self.ask_within / 4, 0.25 * 2 ** min(9, self.list_failures))
             if self.list_failures == 1:
                 self.host.log(f"list lost: asking again within {longest:.2f} s")
-            self.later(longest * self.rng.uniform(0.5, 1.0), self.ask)
+            self.ask_at = self.host.now + longest * self.rng.uniform(0.5, 1.0)
             return
         if kind is not ListKind.CACHED:
             if self.list_failures:
                 self.host.log(f"list watched: failures before {self.list_failures}")
             self.list_lost, self.list_failures = False, 0
         first, absent = not self.servers, set(self.servers) if kind is not ListKind.CHANGES else set()
-        joined = []
         for entry in entries:
             absent.discard(entry.name)
-            if self.told(entry, first):
-                joined.append(self.servers[entry.name])
+            self.told(entry, first)
         for name in sorted(absent):
             self.leave(self.servers[name], Readiness.GONE)
         self.fleet = [s for s in self.servers.values() if s.readiness is Readiness.IN_SERVICE]
         self.ring = sorted((place, n) for n, s in enumerate(self.fleet) for place in s.places)
-        for server in joined:
-            # Each newcomer is in as many working sets as any other server is.
-            if self.rng.random() * len(self.fleet) < len(self.working) and server not in self.working:
-                self.working[self.rng.randrange(len(self.working))] = server
         self.draw_working()
-        self.look()
 
-    def told(self, entry: Entry, first: bool) -> bool:
-        """Whether the server is new or back."""
+    def told(self, entry: Entry, first: bool) -> None:
         now, server = self.host.now, self.servers.get(entry.name)
         if server is None and entry.readiness is Readiness.GONE:
-            return False
+            return
         before = server.started if server else None
         joined = server.readiness is not Readiness.IN_SERVICE if server else not first
         server = server or self.servers.setdefault(entry.name, Server(entry))
         if entry.readiness is not Readiness.IN_SERVICE:
             self.leave(server, entry.readiness)
-            return False
+            return
         server.learn(entry)
         if not joined and (entry.started == before or not self.budget.cold(server, now)):
-            return False
+            return
         # A returner starts anew: what was known of it before its restart says nothing.
         server.leaving, server.distrust, share = None, 0.0, self.mean * server.size
-        self.budget.open(server, now)
+        self.budget.tokens[server] = ((self.budget.phase + draw(server.name)) % 1.0, now)
         # Of many balancers with less than one connection a server, as many as the share says place one.
         server.arrival = Pace(int(share + self.rng.random()))
         why = "cold" if self.budget.cold(server, now) else "back"
         self.host.log(f"arrival {server.name}: {why}, size {server.size:g}, share {share:.1f}")
-        return True
+        if self.rng.random() * len(self.fleet) < len(self.working) and server not in self.working:
+            # Each newcomer is in as many working sets as any other server is.
+            self.working[self.rng.randrange(len(self.working))] = server
 
     def leave(self, server: Server, readiness: Readiness) -> None:
         news = server.readiness is Readiness.IN_SERVICE
@@ -425,15 +385,12 @@
             self.hand_off(server, "drain")
 
     def load_of(self, server: Server) -> float:
-        """The load last reported, carried on by own connections since; 0 if none is known. With many own
-        connections a server the other balancers are taken to have done the same; with few that is chance."""
+        """The load last reported, 0 if none is known; carried on by own connections since, the others' being
+        taken to have changed alike; where own ones are few that is chance, and the report stands."""
         if self.host.now - server.load_at >= LOAD_KEPT:
             return 0.0
-        if not (more := len(server.connections) - server.load_count):
-            return server.load
-        own = self.usual * server.size
-        alike = (1.0 + (self.balancers - 1.0) * own / (own + CHANCE)) / self.balancers
-        return server.load + more * alike / max(self.fill * server.size, 1.0 / self.balancers)
+        more = 0 if self.sparse else len(server.connections) - server.load_count
+        return server.load + more / (self.fill * server.size)
 
     def strained(self, server: Server) -> bool:
         return self.host.now - server.strained_at < STRAIN_FOR or self.load_of(server) >= FULL_LOAD
@@ -442,9 +399,9 @@
                 receivers: list[Server]) -> tuple[float | None, float | None]:  # fmt: skip
         """Source and receivers by message delay where both sides report one, else by set-up time."""
         now = self.host.now
-        delays, set_ups = [r.delay.fresh(now) for r in receivers], [r.set_up.fresh(now) for r in receivers]
-        for mine, theirs in zip(source, (delays, set_ups), strict=True):
-            figures = [figure for figure in theirs if figure is not None]
+        both = [r.delay for r in receivers], [r.set_up for r in receivers]
+        for mine, theirs in zip(source, both, strict=True):
+            figures = [figure for each in theirs if (figure := each.fresh(now)) is not None]
             if mine is not None and figures:
                 return mine, sum(figures) / len(figures)
         return None, None
@@ -468,7 +425,10 @@
         delay = source.delay.fresh(now)
         receivers = [s for s in self.working if s is not source and not s.leaving and not self.strained(s)]
         figures = self.compare((off.delay if delay is None else delay, off.set_up), receivers)
-        for sess in off.movable()[:pace.allowance(*figures)]:
+        # Those this balancer placed; idle first, read as little load and no recent word of it.
+        own = [s for s in source.connections if s.standing and s.placed]
+        own.sort(key=lambda s: (math.inf if s.load is None else s.load, s.news_at))
+        for sess in own[:pace.allowance(*figures)]:
             sess.standing = False
             source.release(sess)
             self.host.move(sess.token)
@@ -560,7 +520,7 @@
         now, left = self.host.now, sess.give_up - self.host.now
         spent = left <= 0 or sess.dials >= self.most_dials
         spent = spent or sess.dials > 0 and not any(sess.may_go_to(s, now) for s in self.fleet)
-        server = None if spent or self.out >= self.window or now < self.again_at else self.pick(sess)
+        server = None if spent else self.pick(sess)
         if server is None or self.asking(sess, server, now):
             if not spent and now < sess.hold_until:
                 self.waiting.append(sess)  # all servers are cold or strained, or the list is empty
@@ -574,7 +534,7 @@
         else:
             self.memory[sess.group if self.share_groups else None] = server
         sess.server, sess.placed, sess.dialling, sess.drawn = server, True, True, []
-        sess.dials, self.out = sess.dials + 1, self.out + 1
+        sess.dials += 1
         sess.tried.append(server)
         if sess.may_run_at is None:
             sess.may_run_since = now
@@ -601,15 +561,6 @@
             server.strained_at = now
         return True
 
-    def set_up_ended(self, well: bool) -> None:
-        """Set-ups that fail everywhere (a store drowned by a mass restart) are not tried again all at once:
-        the number of dials out follows what works, one more for each that did, half for one that did not;
-        under one at a time they are spaced out."""
-        self.out -= 1
-        self.window = min(OUT_MOST, self.window + 1.0) if well else max(TICK / 2, self.window / 2)
-        if not well and self.window < 1.0:
-            self.again_at = self.host.now + TICK / self.window * self.rng.uniform(0.5, 1.5)
-
     def dial_time(self, sess: Session, left: float) -> float:
         """Dial plan: early dials get the handshake target or thrice what set-ups take in the fleet now, so
         that a slow store does not make every dial fail; the last, and any that can't be repeated, all."""
@@ -619,8 +570,10 @@
         return min(left, max(sess.listener.handshake_target, 3.0 * usual))
 
     def end(self, sess: Session) -> None:
-        sess.answered = True
-        if sess.may_refuse():
+        sess.answered, kind = True, sess.listener
+        # Rule 2: a refusal promises that coming again is harmless.
+        if (sess.may_run_at is None or kind.repeat is Repeat.REPEATABLE
+                or kind.repeat is Repeat.REFERENCED and kind.scope is Scope.ALL):  # fmt: skip
             self.host.refuse(sess.token, self.retry_after * self.rng.uniform(0.3, 1.0))
         else:
             self.host.tear_down(sess.token)
@@ -633,8 +586,6 @@
 
     def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
         now = self.host.now
-        if not sess.standing and sess.placed:
-            self.set_up_ended(end in NO_FAULT)
         if end in (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT):
             return
         if not sess.standing:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -42,9 +42,9 @@
     old = host.servers("a", "b")
     for _ in range(20):
         host.take()
+    host.balancer.review()
     host.servers("c", kind=ListKind.CHANGES)
     host.balancer.servers["c"].arrival = None
-    host.balancer.review()
     weigh = [host.balancer.weight(s, None, None, host.now) for s in (*old, host.balancer.servers["c"])]
     assert weigh[2] == pytest.approx(sum(weigh[:2]) / 2)
 
