--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -4,9 +4,9 @@
 hands it the server list (server_list), new sessions (take), connections already open (adopt), probe results
 (probed) and its one timer (tick). take returns a Session; all that happens to it later is a call on it.
 
-The design (docs/design.md): the lesser, by own connections per size, of two random servers and the one
-remembered best; hand-off in four stages when a server drains; the same pace for cold arrivals; all of it on
-some servers drawn at random, on a small fleet on all. Beside it stand:
+The design (docs/design.md): the lesser, by own connections per size, of two random servers and the remembered
+best; hand-off in four stages when a server drains; cold arrivals at the same pace; all of it on some servers
+drawn at random, on a small fleet on all. Beside it stand:
 1. distrust: a score for each server that fades; traffic follows it, a high one starts a hand-off.
 2. dial plan: how long a dial may take, and what follows when it fails.
 3. cold budget: this balancer's own share of what all together may send to a cold server.
@@ -31,16 +31,14 @@
 TICK = 0.05  # the one periodic timer, seconds
 FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
 FADE, DISTRUSTED = 7.0, 2.0  # seconds in which distrust falls to a third; score that bars a server
-STRAIN_FOR = 1.5  # seconds for which word of overload keeps new sessions off a server
+STRAIN_FOR, LOAD_KEPT = 1.5, 8.0  # seconds for which word of overload bars a server; a report is carried on
 FULL_LOAD, SHED_LOAD = 0.65, 0.95  # load over capacity: nothing new from here; from here moved off
-LOAD_KEPT = 8.0  # seconds for which a reported load is carried on
 PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
 CHANCE = 3.0  # own connections a server to which differences between servers are mostly chance
 REPORT_AGE, ASK_FOR = 1.0, 0.1  # seconds: a report good enough to place by; time to answer when asked
 LEAST, MOST = 16, 64  # servers a balancer works with at the least, if there are so many, and at the most
 REVIEW, EXCHANGE = 0.5, 10.0  # seconds from look to look at the working set, and from exchange to exchange
-POINTS = 2  # places on the ring of homes for each unit of size
 
 
 def draw(*names: Hashable) -> float:
@@ -50,9 +48,7 @@
 
 
 class Figure:
-    """A smoothed figure that goes stale."""
-    def __init__(self) -> None:
-        self.value, self.at = 0.0, -math.inf
+    value, at = 0.0, -math.inf
 
     def add(self, value: float, now: float) -> None:
         self.value += (value - self.value) * (SMOOTHING if now - self.at < FRESH else 1.0)
@@ -67,8 +63,9 @@
 
     BASE = (0.05, 0.10, 0.15, 0.20)
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, latency: float | None = None) -> None:
         self.count, self.moved, self.carry, self.credit, self.at = count, 0, 0.0, 0, -math.inf
+        self.latency = latency  # of the source, before the notice
 
     def allowance(self, source: float | None, receiver: float | None) -> int:
         stage = min(3, 4 * self.moved // max(1, self.count))
@@ -83,45 +80,39 @@
 
 
 class Server:
-    """What one balancer knows of one server."""
-
     def __init__(self, entry: Entry) -> None:
         self.places: list[float] = []  # on the ring of homes
         self.learn(entry)
         self.connections: dict[Session, None] = {}  # dials out and connections open, in order of placing
-        self.groups: Counter[Hashable] = Counter()
-        self.heard = False  # whether this balancer has had a connection there
-        self.distrust, self.distrust_at = 0.0, 0.0
+        self.heard, self.distrust, self.distrust_at = False, 0.0, 0.0  # heard: had a connection here
         self.delay, self.set_up = Figure(), Figure()
         self.load, self.load_at, self.load_count = 0.0, -math.inf, 0
         self.probed_at = self.strained_at = -math.inf  # strained: it shed, was full, or late with messages
         self.arrival: Pace | None = None  # cold or back: new placements at the staged pace, to a fair share
-        self.leaving: HandOff | None = None
+        self.leaving: Pace | None = None  # its connections are handed off
 
     def learn(self, entry: Entry) -> None:
         self.name, self.readiness, self.started = entry.name, Readiness.IN_SERVICE, entry.started
         self.size, self.zone, self.cell = entry.size, entry.zone, entry.cell
-        if len(self.places) != (count := min(32, math.ceil(POINTS * self.size))):
+        if len(self.places) != (count := min(32, math.ceil(2 * self.size))):
             self.places = [draw(self.name, n) for n in range(count)]
 
+    def latency(self, now: float) -> float | None:
+        return self.set_up.fresh(now) if (delay := self.delay.fresh(now)) is None else delay
+
     def score(self, now: float) -> float:
         return self.distrust and self.distrust * math.exp((self.distrust_at - now) / FADE)
 
-    def blame(self, amount: float, now: float) -> None:
-        self.distrust, self.distrust_at = self.score(now) + amount, now
-
     def hold(self, sess: Session) -> None:
         self.connections[sess], self.heard = None, True
-        self.groups[sess.group] += 1
         sess.balancer.held[sess.customer] += 1
 
     def release(self, sess: Session) -> None:
         if sess in self.connections:
             del self.connections[sess]
-            self.groups[sess.group] -= 1
             sess.balancer.held[sess.customer] -= 1
             if self.leaving:
-                self.leaving.pace.moved += 1
+                self.leaving.moved += 1
 
 
 class Session:
@@ -133,19 +124,18 @@
         self.group, self.give_up, self.load = group, give_up, load
         self.server: Server | None = None
         self.tried, self.drawn, self.asks = list[Server](), list[Server](), 0
-        self.dials, self.dialling, self.standing, self.answered, self.placed = 0, False, False, False, False
+        self.dialling = self.standing = self.answered = self.placed = False
         self.hold_until, self.news_at, self.may_run_since = (balancer.host.now + give_up) / 2, -math.inf, 0.0
         self.may_run_at: Server | None = None  # the first server on which this session may have run
 
     def accepted(self, took: float) -> None:
-        """The connection stands; it lasts until its dial ends."""
         server, now = self.server, self.balancer.host.now
         if server is None or self.answered:
             return
         self.standing = self.answered = True
         server.set_up.add(took, now)
         self.balancer.setting_up.add(took, now)
-        server.blame(-0.3 * server.score(now), now)
+        server.distrust *= 0.7
 
     def load_news(self, load: float) -> None:
         self.load, self.news_at = load, self.balancer.host.now
@@ -158,10 +148,9 @@
                 self.balancer.blame(server, 0.3)
 
     def client_gone(self) -> None:
-        """Nothing is owed any more; a dial still out is called back where that is allowed."""
-        self.answered = True
+        self.answered = True  # nothing is owed any more; a dial still out is called back where allowed
         if self.dialling and not self.standing and self.balancer.cancelling:
-            self.balancer.host.cancel(self.token, self.dials - 1)
+            self.balancer.host.cancel(self.token, len(self.tried) - 1)
 
     def dial_ended(self, end: DialEnd, final: bool, took: float, load: float | None = None) -> None:
         if not self.dialling or self.server is None:
@@ -186,14 +175,13 @@
             return True
         if listener.repeat is Repeat.ONCE_ONLY or now - self.may_run_since >= listener.window - TICK:
             return False
-        return (listener.scope is Scope.ALL or listener.scope is Scope.ZONE and server.zone == first.zone
-                or listener.scope is Scope.CELL and server.cell == first.cell)  # fmt: skip
+        same = {Scope.ALL: True, Scope.ZONE: server.zone == first.zone, Scope.CELL: server.cell == first.cell}
+        return same[listener.scope]
 
 
 class ColdBudget:
-    """Rule 4. Own share of the fleet's budget: what fills a warm server of like size with this balancer's
-    connections over the warm-up, times the share of its capacity a cold one has by now, times the stated
-    multiple; starts are staggered by number and server, so that whole placements don't fall together."""
+    """Rule 4. Own share of the fleet's budget: own connections that fill a warm server of like size, over the
+    warm-up, times present warmth, times the stated multiple; starts are staggered by number and server."""
 
     MEMORY = 20.0  # seconds over which the rate of new sessions is averaged
 
@@ -206,8 +194,8 @@
         self.seen, self.at = self.seen * math.exp((self.at - now) / self.MEMORY) + 1.0, now
 
     def rate(self, now: float) -> float:
-        span = self.MEMORY * (1.0 - math.exp((self.since - now) / self.MEMORY))
-        return self.seen * math.exp((self.at - now) / self.MEMORY) / max(span, 1.0)
+        span = max(1.0, min(now - self.since, self.MEMORY))
+        return self.seen * math.exp((self.at - now) / self.MEMORY) / span
 
     def cold(self, server: Server, now: float) -> bool:
         return server.started is not None and now - server.started < self.time
@@ -224,35 +212,22 @@
         return level
 
 
-class HandOff:
-    """Moves this balancer's own connections off one source in four stages."""
-
-    def __init__(self, source: Server, now: float) -> None:
-        self.source, self.pace = source, Pace(len(source.connections))
-        self.delay, self.set_up = source.delay.fresh(now), source.set_up.fresh(now)  # before the notice
-
-
 class Balancer:
-    """One instance: everything one proxy knows and decides."""
-
     def __init__(self, host: Host, settings: Settings, seed: int) -> None:
         self.host, self.rng = host, Random(seed)
         self.servers: dict[str, Server] = {}
         self.fleet, self.working = list[Server](), list[Server]()  # in service; worked with
-        self.ring: list[tuple[float, int]] = []
-        self.held: Counter[Customer | None] = Counter()
-        self.memory: dict[Hashable, Server] = {}
-        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.ring, self.held = list[tuple[float, int]](), Counter[Customer | None]()
+        self.memory, self.due = dict[Hashable, Server](), list[tuple[float, int, Callable[[], None]]]()
         self.counter, self.waiting, self.fill, self.mean, self.bar = 0, list[Session](), 1.0, 0.0, DISTRUSTED
         self.balancers, self.overage_utility = settings.balancers, settings.overage_utility
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
         self.retry_after, self.share_groups, self.setting_up = settings.retry_after, settings.groups, Figure()
         self.budget = ColdBudget(settings.cold_share, settings.cold_time, settings.fall_multiple,
                                  settings.me / settings.balancers, host.now)  # fmt: skip
-        self.ask_within, self.probing = settings.ask_within, settings.probes
-        self.list_lost, self.list_failures = settings.watched, 0
-        self.ask_at = host.now + self.rng.uniform(0.0, 0.2)
-        self.probe_price = max(settings.probe_price, 1e-4)
+        self.ask_within, self.ask_at = settings.ask_within, host.now + self.rng.random()
+        self.list_lost, self.list_failures, self.probing = settings.watched, 0, settings.probes
+        self.probes = PROBE_POINTS / max(1e-4, settings.probe_price)  # a session, in calm times
         if self.probing:
             self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
@@ -270,41 +245,35 @@
             self.host.watch()
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
-        waiting, self.waiting, barred = sorted(self.waiting, key=self.value, reverse=True), [], 0
-        later: list[Session] = []
-        for sess in waiting:
-            # Where some in turn found no place the rest are looked at in the next ticks.
-            if barred < 2 or now >= sess.hold_until:
-                self.dial(sess)
-                barred += not sess.answered and not sess.dialling
-            else:
-                later.append(sess)
-        self.waiting = later + self.waiting
+        waiting, self.waiting = sorted(self.waiting, key=self.value, reverse=True), []
+        for place, sess in enumerate(waiting):
+            if len(self.waiting) > 1 and now < sess.hold_until:  # no place for two: the rest later
+                self.waiting = waiting[place:] + self.waiting
+                break
+            self.dial(sess)
         self.host.wake_at(now + TICK)
 
-    def value(self, sess: Session) -> float:
+    def value(self, sess: Session) -> tuple[bool, float]:
         """Overload: those of most utility first, less if their customer holds more than its share."""
         who = sess.customer
         over = who is not None and 0 < who.connections < self.balancers * self.held[who]
-        return sess.listener.utility * (self.overage_utility if over else 1.0)
+        utility = sess.listener.utility * (self.overage_utility if over else 1.0)
+        return self.host.now >= sess.hold_until, utility
 
     def review(self) -> None:
         if self.rng.random() < REVIEW / EXCHANGE and len(self.working) < len(self.fleet):
-            # Now and then one server makes room for another; no connection is moved.
-            del self.working[self.rng.randrange(len(self.working))]
+            self.working.pop(0)  # the oldest makes room for another; no connection is moved
         self.draw_working()
         self.later(REVIEW, self.review)
 
     def look(self) -> None:
-        """What is decided for the working set as a whole."""
         now = self.host.now
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
         scores = sorted(s.score(now) for s in self.working)
         self.bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
         # Own connections per size that fill a server: with few a server only their sum tells, over the load
         # that servers report on the whole; lacking any, what new ones a server gets over a warm-up.
-        fit = sum(not self.bad(s) and not self.strained(s) for s in self.working)
-        self.open_share = fit / max(1, len(self.working))  # of the servers, those with room
+        self.open_share = sum(map(self.well, self.working)) / max(1, len(self.working))  # those with room
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
         load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
         self.fill = self.mean / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
@@ -316,20 +285,22 @@
         self.size, own = sum(s.size for s in self.fleet if not s.arrival) or 1.0, sum(self.held.values())
         self.mean = own / self.size  # own connections per size, all servers alike
         self.sparse = own <= CHANCE * len(self.fleet)
-        known = LOAD_KEPT * PROBE_POINTS / self.probe_price * self.budget.rate(self.host.now)
+        known = LOAD_KEPT * self.probes * self.budget.rate(self.host.now)
         breadth = min(MOST, max(LEAST, math.ceil(known), own // 4))
         if breadth >= len(self.fleet):
             self.working = list(self.fleet)
         else:
-            self.working = [s for s in self.working if s.readiness is Readiness.IN_SERVICE
-                            and not self.bad(s) and not self.strained(s)]  # fmt: skip
+            self.working = [s for s in self.working if self.well(s)]
             while len(self.working) < breadth:
                 if (server := self.rng.choice(self.fleet)) not in self.working:
                     self.working.append(server)
         self.look()
 
-    def bad(self, server: Server) -> bool:
-        return server.score(self.host.now) > self.bar
+    def well(self, server: Server, sess: Session | None = None) -> bool:
+        now = self.host.now
+        return (server.readiness is Readiness.IN_SERVICE and now - server.strained_at >= STRAIN_FOR
+                and self.load_of(server) < FULL_LOAD and server.score(now) <= self.bar
+                and not (sess and (server.leaving or not sess.may_go_to(server, now))))  # fmt: skip
 
     def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
         if kind is ListKind.FAILED:
@@ -379,108 +350,89 @@
             self.working[self.rng.randrange(len(self.working))] = server
 
     def leave(self, server: Server, readiness: Readiness) -> None:
-        news = server.readiness is Readiness.IN_SERVICE
-        server.readiness, server.arrival = readiness, None
+        news, server.readiness = server.readiness is Readiness.IN_SERVICE, readiness
+        server.arrival = None
         if readiness is Readiness.DRAINING and news:
             self.hand_off(server, "drain")
 
     def load_of(self, server: Server) -> float:
-        """The load last reported, 0 if none is known; carried on by own connections since, the others' being
-        taken to have changed alike; where own ones are few that is chance, and the report stands."""
+        """The load last reported, 0 if none is known; carried on by own connections unless these are few."""
         if self.host.now - server.load_at >= LOAD_KEPT:
             return 0.0
         more = 0 if self.sparse else len(server.connections) - server.load_count
         return server.load + more / (self.fill * server.size)
 
-    def strained(self, server: Server) -> bool:
-        return self.host.now - server.strained_at < STRAIN_FOR or self.load_of(server) >= FULL_LOAD
-
-    def compare(self, source: tuple[float | None, float | None],
-                receivers: list[Server]) -> tuple[float | None, float | None]:  # fmt: skip
-        """Source and receivers by message delay where both sides report one, else by set-up time."""
-        now = self.host.now
-        both = [r.delay for r in receivers], [r.set_up for r in receivers]
-        for mine, theirs in zip(source, both, strict=True):
-            figures = [figure for each in theirs if (figure := each.fresh(now)) is not None]
-            if mine is not None and figures:
-                return mine, sum(figures) / len(figures)
-        return None, None
+    def latency(self, servers: list[Server]) -> float | None:
+        figures = [figure for s in servers if (figure := s.latency(self.host.now)) is not None]
+        return sum(figures) / len(figures) if figures else None
 
     def hand_off(self, source: Server, why: str) -> None:
         if source.connections and not (source.leaving and source.readiness is Readiness.IN_SERVICE):
-            source.leaving = HandOff(source, self.host.now)
-            self.host.log(f"hand-off {source.name}: {why}, own connections {source.leaving.pace.count}")
-            self.step_hand_off(source.leaving)
+            source.leaving = Pace(len(source.connections), source.latency(self.host.now))
+            self.host.log(f"hand-off {source.name}: {why}, own connections {source.leaving.count}")
+            self.step_hand_off(source, source.leaving)
 
-    def step_hand_off(self, off: HandOff) -> None:
-        source, pace, now = off.source, off.pace, self.host.now
-        if source.leaving is not off:
+    def step_hand_off(self, source: Server, pace: Pace) -> None:
+        now = self.host.now
+        if source.leaving is not pace:
             return
-        serving = source.readiness is Readiness.IN_SERVICE
-        mended = serving and source.score(now) < DISTRUSTED / 2 and self.load_of(source) < SHED_LOAD
+        mended = (source.readiness is Readiness.IN_SERVICE and source.score(now) < DISTRUSTED / 2
+                  and self.load_of(source) < SHED_LOAD)  # fmt: skip
         if mended or not source.connections:
             self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
-            source.leaving = None if serving else off
+            source.leaving = None
             return
         delay = source.delay.fresh(now)
-        receivers = [s for s in self.working if s is not source and not s.leaving and not self.strained(s)]
-        figures = self.compare((off.delay if delay is None else delay, off.set_up), receivers)
+        receivers = [s for s in self.working if s is not source and not s.leaving and self.well(s)]
+        allowed = pace.allowance(pace.latency if delay is None else delay, self.latency(receivers))
         # Those this balancer placed; idle first, read as little load and no recent word of it.
         own = [s for s in source.connections if s.standing and s.placed]
         own.sort(key=lambda s: (math.inf if s.load is None else s.load, s.news_at))
-        for sess in own[:pace.allowance(*figures)]:
+        for sess in own[:allowed]:
             sess.standing = False
             source.release(sess)
             self.host.move(sess.token)
-        self.later(1.0, lambda: self.step_hand_off(off))
+        self.later(1.0, lambda: self.step_hand_off(source, pace))
 
-    def eased(self, server: Server, now: float) -> bool:
+    def eased(self, server: Server) -> bool:
         """Whether a server that arrives may get one more: the staged pace, and the cold budget."""
         if (pace := server.arrival) is None:
             return True
+        now = self.host.now
         if pace.moved >= pace.count and not self.budget.cold(server, now):
             server.arrival = None
             self.host.log(f"arrival {server.name} ends: own connections {len(server.connections)}")
             return True
         if now >= pace.at + 1.0:
             others = [s for s in self.working if not s.arrival]
-            figures = self.compare((server.delay.fresh(now), server.set_up.fresh(now)), others)
-            pace.at, pace.credit = now, pace.credit or max(1, pace.allowance(figures[1], figures[0]))
+            allowed = pace.allowance(self.latency(others), server.latency(now))
+            pace.at, pace.credit = now, pace.credit or max(1, allowed)
         return pace.credit > 0 and self.budget.grow(server, self.fill, now) >= 1
 
-    def weight(self, server: Server, group: Hashable, home: Server | None, now: float) -> float:
+    def weight(self, server: Server, group: Hashable, home: Server | None) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
         due = server.arrival and server.arrival.moved < server.arrival.count
         own = len(server.connections) if server.heard or due else self.mean * server.size
-        if self.share_groups and group is not None and server is not home and not server.groups[group]:
+        shared = self.share_groups and group is not None and server is not home
+        if shared and all(sess.group != group for sess in server.connections):
             own += GROUP_COST * (self.fill * server.size + CHANCE)
-        return (own + 1.0) / server.size * (1.0 + server.score(now))
+        return (own + 1.0) / server.size * (1.0 + server.score(self.host.now))
 
-    def home(self, sess: Session, now: float) -> Server | None:
-        """The remembered best: per group where groups share work. A group not met yet is remembered where
-        every balancer would look first, so that its connections meet without a word between balancers:
-        the first fit server from the group's place on a ring of servers."""
+    def home(self, sess: Session) -> Server | None:
+        """The remembered best: per group where groups share work. For a group not met yet, the first fit one
+        from the group's place on a ring: the same at all balancers, so that it meets without a word."""
         known = self.memory.get(group := sess.group if self.share_groups else None)
-        if group is None or known and self.fit(known, sess, now):
+        if group is None or known and self.well(known, sess):
             return known
-        at = bisect(self.ring, (draw(group), 0))
-        for step in range(min(LEAST, len(self.ring))):
-            server = self.fleet[self.ring[(at + step) % len(self.ring)][1]]
-            if self.fit(server, sess, now) and not server.arrival:
-                return server
-        return None
-
-    def fit(self, server: Server, sess: Session, now: float) -> bool:
-        return (server.readiness is Readiness.IN_SERVICE and not server.leaving and not self.strained(server)
-                and not self.bad(server) and sess.may_go_to(server, now))  # fmt: skip
+        at, steps = bisect(self.ring, (draw(group), 0)), range(min(LEAST, len(self.ring)))
+        stretch = (self.fleet[self.ring[(at + step) % len(self.ring)][1]] for step in steps)
+        return next((s for s in stretch if self.well(s, sess) and not s.arrival), None)
 
     def pick(self, sess: Session) -> Server | None:
-        now = self.host.now
-
         def open_to(servers: Iterable[Server]) -> list[Server]:
-            return [s for s in servers if self.fit(s, sess, now) and self.eased(s, now)]
+            return [s for s in servers if self.well(s, sess) and self.eased(s)]
 
-        home = self.home(sess, now)
+        home = self.home(sess)
         if home is None and sess.group is not None and self.share_groups and self.sparse:
             # Strewn over the fleet, each group's work is paid for everywhere: a jam that feeds itself.
             return None
@@ -495,7 +447,7 @@
         sess.drawn = open_to(sess.drawn) or self.rng.sample(rest, min(2, len(rest)))
         candidates = open_to([home]) if home and home not in sess.tried else []
         candidates += arriving + sess.drawn
-        return min(candidates, key=lambda s: self.weight(s, sess.group, home, now), default=None)
+        return min(candidates, key=lambda s: self.weight(s, sess.group, home), default=None)
 
     def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
              time_left: float, load: float | None) -> Session:  # fmt: skip
@@ -518,8 +470,8 @@
         if sess.answered or sess.dialling:
             return
         now, left = self.host.now, sess.give_up - self.host.now
-        spent = left <= 0 or sess.dials >= self.most_dials
-        spent = spent or sess.dials > 0 and not any(sess.may_go_to(s, now) for s in self.fleet)
+        spent = (left <= 0 or len(sess.tried) >= self.most_dials
+                 or len(sess.tried) > 0 and not any(sess.may_go_to(s, now) for s in self.fleet))  # fmt: skip
         server = None if spent else self.pick(sess)
         if server is None or self.asking(sess, server, now):
             if not spent and now < sess.hold_until:
@@ -534,10 +486,8 @@
         else:
             self.memory[sess.group if self.share_groups else None] = server
         sess.server, sess.placed, sess.dialling, sess.drawn = server, True, True, []
-        sess.dials += 1
         sess.tried.append(server)
-        if sess.may_run_at is None:
-            sess.may_run_since = now
+        sess.may_run_since = sess.may_run_since if sess.may_run_at else now
         server.hold(sess)
         self.host.dial(sess.token, server.name, self.dial_time(sess, left))
 
@@ -548,13 +498,12 @@
             return False
         if now - server.load_at < REPORT_AGE:
             # Many balancers that see the same room all fill it: each takes its part by chance, as if alike.
-            room = (FULL_LOAD - self.load_of(server)) * self.fill * server.size
+            room = (FULL_LOAD - server.load) * self.fill * server.size
             crowd = self.budget.rate(now) * REPORT_AGE / max(1.0, self.open_share * len(self.fleet))
             if self.rng.random() * crowd <= room:
                 return False
             server.strained_at = now
-            return True
-        if now - server.probed_at >= REPORT_AGE and sess.asks < 4:
+        elif now - server.probed_at >= REPORT_AGE and sess.asks < 4:
             sess.asks, server.probed_at = sess.asks + 1, now
             self.host.probe(server.name)
         elif now - server.probed_at >= ASK_FOR:
@@ -562,18 +511,16 @@
         return True
 
     def dial_time(self, sess: Session, left: float) -> float:
-        """Dial plan: early dials get the handshake target or thrice what set-ups take in the fleet now, so
-        that a slow store does not make every dial fail; the last, and any that can't be repeated, all."""
-        if sess.dials >= self.most_dials or sess.listener.repeat is Repeat.ONCE_ONLY:
+        """Early dials get the handshake target or, if a store slows all, thrice what set-ups take."""
+        if len(sess.tried) >= self.most_dials or sess.listener.repeat is Repeat.ONCE_ONLY:
             return left
         usual = self.setting_up.fresh(self.host.now) or 0.0
         return min(left, max(sess.listener.handshake_target, 3.0 * usual))
 
     def end(self, sess: Session) -> None:
-        sess.answered, kind = True, sess.listener
-        # Rule 2: a refusal promises that coming again is harmless.
-        if (sess.may_run_at is None or kind.repeat is Repeat.REPEATABLE
-                or kind.repeat is Repeat.REFERENCED and kind.scope is Scope.ALL):  # fmt: skip
+        sess.answered, repeat = True, sess.listener.repeat
+        everywhere = repeat is Repeat.REFERENCED and sess.listener.scope is Scope.ALL
+        if sess.may_run_at is None or repeat is Repeat.REPEATABLE or everywhere:  # rule 2
             self.host.refuse(sess.token, self.retry_after * self.rng.uniform(0.3, 1.0))
         else:
             self.host.tear_down(sess.token)
@@ -585,32 +532,30 @@
             self.hand_off(server, f"load {load:.2f}")
 
     def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
-        now = self.host.now
         if end in (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT):
             return
         if not sess.standing:
-            server.set_up.add(max(took, sess.listener.handshake_target), now)
+            server.set_up.add(max(took, sess.listener.handshake_target), self.host.now)
             if end is DialEnd.TIMEOUT:
-                self.setting_up.add(took, now)
+                self.setting_up.add(took, self.host.now)
         if end is DialEnd.FULL or sess.standing and end is DialEnd.RESET:
             # It sheds: refilled at once it would drop them again, a storm of set-ups that ends all service.
-            server.strained_at = now
+            server.strained_at = self.host.now
         self.blame(server, 0.3 if sess.standing else 0.5 if end is DialEnd.FULL else 1.0)
 
     def blame(self, server: Server, amount: float) -> None:
         now = self.host.now
-        server.blame(amount, now)
-        if self.bad(server):
+        server.distrust, server.distrust_at = (score := server.score(now) + amount), now
+        if score > self.bar:
             self.look()
-            if server.score(now) >= 2 * DISTRUSTED and self.bad(server) and server in self.fleet:
-                # A sick server that nobody drains: the source of the same hand-off.
-                self.hand_off(server, f"distrust {server.score(now):.1f}")
+        if score >= 2 * DISTRUSTED and score > self.bar and server in self.fleet:
+            # A sick server that nobody drains: the source of the same hand-off.
+            self.hand_off(server, f"distrust {score:.1f}")
 
     def probe_round(self) -> None:
         now = self.host.now
-        rate = PROBE_POINTS / self.probe_price * self.budget.rate(now)
-        if any(now - s.strained_at < LOAD_KEPT for s in self.working):
-            # In trouble reports are worth more: with many servers the calm rate leaves most unknown.
+        rate = self.probes * self.budget.rate(now)
+        if any(now - s.strained_at < LOAD_KEPT for s in self.working):  # in trouble reports are worth more
             rate = max(rate, min(len(self.working) / 2.0, 4.0 * rate))
         if self.working:
             # The longest unprobed first, distrusted ones sooner.
@@ -620,8 +565,7 @@
         self.later(1.0 / min(1.0 / TICK, max(rate, 0.2)), self.probe_round)
 
     def probed(self, name: str, end: DialEnd, took: float, load: float | None) -> None:
-        server = self.servers.get(name)
-        if server is None or server.readiness is not Readiness.IN_SERVICE:
+        if (server := self.servers.get(name)) is None:
             return
         if end is DialEnd.OK and load is not None:
             self.load_told(server, load)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -32,7 +32,7 @@
     for server in servers[1:]:
         host.take().server.heard = True
         server.heard = True
-        host.balancer.servers[server.name].blame(1.0, host.now)
+        host.balancer.blame(server, 1.0)
     host.balancer.memory[None] = servers[0]
     servers[0].connections.clear()
     assert host.take().server is servers[0]
@@ -45,7 +45,7 @@
     host.balancer.review()
     host.servers("c", kind=ListKind.CHANGES)
     host.balancer.servers["c"].arrival = None
-    weigh = [host.balancer.weight(s, None, None, host.now) for s in (*old, host.balancer.servers["c"])]
+    weigh = [host.balancer.weight(s, None, None) for s in (*old, host.balancer.servers["c"])]
     assert weigh[2] == pytest.approx(sum(weigh[:2]) / 2)
 
 
@@ -84,7 +84,7 @@
     moved = [token for (token,) in host.asked("move")]
     assert moved[:6] == [s.token for s in sessions[:-7:-1]] and 7 not in moved
     sessions[0].dial_ended(DialEnd.OK, True, 9.0)
-    assert a.leaving.pace.moved == len(moved) + 1
+    assert a.leaving.moved == len(moved) + 1
 
 
 def test_a_receiver_slower_than_before_the_notice_halves_the_hand_off(host):
@@ -241,6 +241,7 @@
     a, b = host.servers("a", "b")
     for _ in range(20):
         host.take()
+    host.wait(1.0)
     host.loads(a=0.9, b=0.4)
     host.wait(0.1)
     before = len(a.connections)
