--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -282,9 +282,9 @@
     def draw_working(self) -> None:
         """Servers drawn at random from the fleet, as many as reports and own connections tell something of;
         those that are gone, distrusted or strained are replaced. On a small fleet all of it."""
-        self.size, own = sum(s.size for s in self.fleet if not s.arrival) or 1.0, sum(self.held.values())
-        self.mean = own / self.size  # own connections per size, all servers alike
-        self.sparse = own <= CHANCE * len(self.fleet)
+        warm = [s for s in self.fleet if not s.arrival]  # in a deploy the rest would swell the cold budget
+        self.size, own = sum(s.size for s in warm or self.fleet) or 1.0, sum(len(s.connections) for s in warm)
+        self.mean, self.sparse = own / self.size, own <= CHANCE * len(self.fleet)
         known = LOAD_KEPT * self.probes * self.budget.rate(self.host.now)
         breadth = min(MOST, max(LEAST, math.ceil(known), own // 4))
         if breadth >= len(self.fleet):
