--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -227,7 +227,7 @@
                                  settings.me / settings.balancers, host.now)  # fmt: skip
         self.ask_within, self.ask_at = settings.ask_within, host.now + self.rng.random()
         self.list_lost, self.list_failures, self.probing = settings.watched, 0, settings.probes
-        self.probes = PROBE_POINTS / max(1e-4, settings.probe_price)  # a session, in calm times
+        self.probes = PROBE_POINTS / max(1e-4, settings.probe_price) if settings.probes else 0.0  # a session
         if self.probing:
             self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
@@ -247,7 +247,7 @@
             heapq.heappop(self.due)[2]()
         waiting, self.waiting = sorted(self.waiting, key=self.value, reverse=True), []
         for place, sess in enumerate(waiting):
-            if len(self.waiting) > 1 and now < sess.hold_until:  # no place for two: the rest later
+            if len(self.waiting) > 1:  # no place for two: the rest later; those to be answered came first
                 self.waiting = waiting[place:] + self.waiting
                 break
             self.dial(sess)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -342,3 +342,137 @@
     host.take(stands=False)
     times = [timeout for *_, timeout in host.asked("dial")]
     assert times == pytest.approx([0.3, 0.3, 3 * (0.01 + 0.3 * 0.49)])
+
+
+FEW = {"probes": True, "probe_price": 0.001, "balancers": 100}
+
+
+def test_with_few_own_connections_a_server_is_asked_before_a_dial_and_a_silent_one_passed_over(start):
+    host = start(**FEW)
+    a, b = host.servers("a", "b")
+    sess = host.take()
+    asked = host.asked("probe")[0][0]
+    assert sess.server is None and not host.asked("dial")
+    host.wait(0.2)
+    host.loads(**{name: 0.1 for name in "ab" if name != asked})
+    host.wait(0.2)
+    assert sess.server is (a if asked == "b" else b)
+
+
+def test_a_group_whose_homes_are_full_waits_and_is_not_strewn(start):
+    host = start(groups=True, **FEW)
+    servers = host.servers(*(f"s{n}" for n in range(60)))
+    host.loads(**{s.name: 0.1 for s in servers})
+    stretch = {host.balancer.home(host.take(group="g"))}
+    for _ in range(16):
+        home = host.balancer.home(host.take(group="g", stands=False))
+        if home is not None:
+            home.strained_at = host.now
+            stretch.add(home)
+    before = len(host.asked("dial"))
+    for server in stretch:
+        server.strained_at = host.now
+    host.balancer.asking = lambda *_: False
+    sess = host.take(group="g", stands=False)
+    assert 4 <= len(stretch) <= 16 and sess.server is None and len(host.asked("dial")) == before
+
+
+def test_room_that_all_balancers_see_is_not_filled_by_all_at_once(start):
+    def dials(count):
+        placed = 0
+        for seed in range(count):
+            host = start(seed, **FEW)
+            host.servers("a", *(f"s{n}" for n in range(15)))
+            host.loads(a=0.6, **{f"s{n}": 0.9 for n in range(15)})
+            host.balancer.look()
+            host.balancer.budget.seen, host.balancer.fill = 1.0, 2.0
+            host.take()
+            placed += len(host.asked("dial"))
+        return placed
+
+    assert 0 < dials(100) < 25
+
+
+def test_a_working_set_is_part_of_a_large_fleet_and_is_refilled_without_moving_connections(host):
+    servers = host.servers(*(f"s{n}" for n in range(80)))
+    first = set(host.balancer.working)
+    assert len(first) == 16
+    for _ in range(40):
+        host.take()
+    gone = {s.name for s in servers if s in first and s is not servers[-1]}
+    host.servers(*gone, kind=ListKind.CHANGES, readiness=Readiness.GONE)
+    assert len(host.balancer.working) == 16 and not gone & {s.name for s in host.balancer.working}
+    before = set(host.balancer.working)
+    host.wait(60.0)
+    assert set(host.balancer.working) != before and not host.asked("move")
+
+
+def test_the_work_for_a_session_does_not_grow_with_the_fleet(start):
+    def looks(size):
+        host = start(groups=True, **FEW)
+        host.loads(**{s.name: 0.1 for s in host.servers(*(f"s{n}" for n in range(size)))})
+        well, seen = host.balancer.well, []
+        host.balancer.well = lambda *what: seen.append(what) or well(*what)
+        for n in range(50):
+            host.take(group=f"g{n}")
+        return len(seen)
+
+    assert looks(1000) <= 1.5 * looks(30)
+
+
+def test_many_balancers_together_keep_a_cold_servers_budget_and_fill_it(start):
+    """A hundred balancers with ten sessions each on a fleet of twenty; two servers come in cold."""
+    hosts = [start(seed, balancers=100, me=seed) for seed in range(100)]
+    for host in hosts:
+        host.servers(*(f"s{n}" for n in range(20)))
+        host.balancer.probing = True
+        for _ in range(10):
+            host.take()
+            host.wait(2.0)
+            host.loads(**{f"s{n}": 0.5 for n in range(20)})
+        host.wait(1.0)
+        host.servers("c", "d", kind=ListKind.CHANGES, started=host.now)
+    # 50 connections stand on a warm server at half load: 100 fill it over 10 s, a cold one takes a quarter.
+    before = [len(host.asked("dial")) for host in hosts]
+    for second in range(1, 11):
+        for host in hosts:
+            host.wait(1.0)
+            host.loads(c=0.3, d=0.3)
+            host.take()
+        sent = sum(s == "c" for h, n in zip(hosts, before, strict=True) for _, s, _ in h.asked("dial")[n:])
+        warmth = 0.25 * second + 0.75 * second * second / 20.0
+        assert sent <= 2.0 * 10.0 * warmth + 5
+    assert sent >= 20
+
+
+def test_a_rolling_deploy_does_not_swell_the_cold_budget(host):
+    host.servers("a", "b", "c", "d")
+    for _ in range(80):
+        host.take()
+    host.balancer.review()
+    usual = host.balancer.mean
+    host.servers("a", "b", "c", kind=ListKind.CHANGES, readiness=Readiness.DRAINING)
+    assert host.balancer.mean <= 1.2 * usual
+
+
+def test_a_long_queue_keeps_no_session_past_its_dial_timeout(host):
+    (a,) = host.servers("a")
+    low, high = replace(CALLS, utility=1.0), replace(CALLS, utility=5.0)
+    for step in range(40):
+        a.strained_at = host.now
+        host.take(low if step < 10 else high, stands=False)
+        host.wait(0.05)
+    assert [token for token, _ in host.asked("refuse")][:18] == [10001 + n for n in range(18)]
+
+
+def test_a_list_with_a_server_twice_a_thousand_or_none_and_one_back_with_another_size(host):
+    host.servers()
+    sess = host.take()
+    host.servers("a", "a")
+    host.wait(0.1)
+    assert sess.server is host.balancer.servers["a"] and len(host.balancer.fleet) == 1
+    host.servers(*(f"s{n}" for n in range(1000)))
+    host.servers("a", kind=ListKind.CHANGES, size=3.0, zone="z")
+    assert len(host.balancer.fleet) == 1001 and len(host.balancer.servers["a"].places) == 6
+    host.servers(kind=ListKind.FULL)
+    assert not host.balancer.working and host.take(stands=False).server is None
