--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -261,7 +261,7 @@
         """Overload: those of most utility first, less if their customer holds more than its share."""
         who = sess.customer
         over = who is not None and 0 < who.connections < self.balancers * self.held[who]
-        return self.host.now >= sess.hold_until, sess.listener.utility * (self.overage_utility if over else 1.0)
+        return self.host.now >= sess.hold_until, sess.listener.utility * (self.overage_utility if over else 1)
 
     def review(self) -> None:
         if self.rng.random() < REVIEW / EXCHANGE and len(self.working) < len(self.fleet):
@@ -379,7 +379,7 @@
         if source.leaving is not pace:
             return
         mended = (source.readiness is Readiness.IN_SERVICE and source.score(now) < DISTRUSTED / 2
-                  and self.load_of(source) < SHED_LOAD and now - source.strained_at >= STRAIN_FOR)  # fmt: skip
+                  and self.load_of(source) < SHED_LOAD and now - source.strained_at >= STRAIN_FOR)
         if mended or not source.connections:
             self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
             source.leaving = None
