--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -28,7 +28,7 @@
 from onyxhollow.interface import Customer, DialEnd, Entry, Host, Listener, ListKind  # isort: skip
 from onyxhollow.interface import Readiness, Repeat, Scope, Settings  # isort: skip
 
-TICK = 0.05  # the one periodic timer, seconds
+TICK = 0.1  # the one periodic timer, seconds
 FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
 FADE, DISTRUSTED = 7.0, 2.0  # seconds in which distrust falls to a third; score that bars a server
 STRAIN_FOR, LOAD_KEPT = 1.5, 8.0  # seconds for which word of overload bars a server; a report is carried on
@@ -249,13 +249,16 @@
             self.host.watch()
         while self.due and self.due[0][0] <= now:
             heapq.heappop(self.due)[2]()
+        self.serve()
+        self.host.wake_at(now + TICK)
+
+    def serve(self) -> None:
         waiting, self.waiting = sorted(self.waiting, key=self.value, reverse=True), []
         for place, sess in enumerate(waiting):
             if len(self.waiting) > 1:  # no place for two: the rest later; those to be answered came first
                 self.waiting = waiting[place:] + self.waiting
                 break
             self.dial(sess)
-        self.host.wake_at(now + TICK)
 
     def value(self, sess: Session) -> tuple[bool, float]:
         """Overload: those of most utility first, less if their customer holds more than its share."""
@@ -529,8 +532,7 @@
     def load_told(self, server: Server, load: float) -> None:
         server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
         if load >= SHED_LOAD and server.readiness is Readiness.IN_SERVICE:
-            # More is asked of it than it can do: all its messages are late until some are moved.
-            self.hand_off(server, f"load {load:.2f}")
+            self.hand_off(server, f"load {load:.2f}")  # overfull: all messages are late until some are moved
 
     def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
         if end in (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT):
@@ -540,8 +542,7 @@
             if end is DialEnd.TIMEOUT:
                 self.setting_up.add(took, self.host.now)
         if end is DialEnd.FULL or sess.standing and end is DialEnd.RESET:
-            # It sheds: refilled at once it would drop them again, a storm of set-ups that ends all service.
-            server.strained_at = self.host.now
+            server.strained_at = self.host.now  # it sheds: refilled at once it would drop them again
         self.blame(server, 0.3 if sess.standing else 0.5 if end is DialEnd.FULL else 1.0)
 
     def blame(self, server: Server, amount: float) -> None:
@@ -550,8 +551,7 @@
         if score > self.bar:
             self.look()
         if score >= 2 * DISTRUSTED and score > self.bar and server in self.fleet:
-            # A sick server that nobody drains: the source of the same hand-off.
-            self.hand_off(server, f"distrust {score:.1f}")
+            self.hand_off(server, f"distrust {score:.1f}")  # a sick server that nobody drains
 
     def probe_round(self) -> None:
         now = self.host.now
@@ -571,3 +571,4 @@
             self.load_told(server, load)
         elif end not in (DialEnd.OK, DialEnd.FULL):
             self.blame(server, 1.0)
+        self.serve()
