All waiting sessions are looked at where own connections are many; ticks of 0.05 s again

Cause: two sessions without a place ended a tick's look also at balancers with many connections, where others' homes had room.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -28,7 +28,7 @@
 from onyxhollow.interface import Customer, DialEnd, Entry, Host, Listener, ListKind  # isort: skip
 from onyxhollow.interface import Readiness, Repeat, Scope, Settings  # isort: skip
 
-TICK = 0.1  # the one periodic timer, seconds
+TICK = 0.05  # the one periodic timer, seconds
 FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
 FADE, DISTRUSTED = 7.0, 2.0  # seconds in which distrust falls to a third; score that bars a server
 STRAIN_FOR, LOAD_KEPT = 1.5, 8.0  # seconds for which word of overload bars a server; a report is carried on
@@ -255,7 +255,7 @@
     def serve(self) -> None:
         waiting, self.waiting = sorted(self.waiting, key=self.value, reverse=True), []
         for place, sess in enumerate(waiting):
-            if len(self.waiting) > 1:  # no place for two: the rest later; those to be answered came first
+            if self.sparse and len(self.waiting) > 1:  # no place for two: the rest later
                 self.waiting = waiting[place:] + self.waiting
                 break
             self.dial(sess)
@@ -355,8 +355,7 @@
             self.working[self.rng.randrange(len(self.working))] = server  # in as many sets as others are
 
     def leave(self, server: Server, readiness: Readiness) -> None:
-        news, server.readiness = server.readiness is Readiness.IN_SERVICE, readiness
-        server.arrival = None
+        news, server.readiness, server.arrival = server.readiness is Readiness.IN_SERVICE, readiness, None
         if readiness is Readiness.DRAINING and news:
             self.hand_off(server, "drain")
 
@@ -571,4 +570,5 @@
             self.load_told(server, load)
         elif end not in (DialEnd.OK, DialEnd.FULL):
             self.blame(server, 1.0)
-        self.serve()
+        if self.sparse:
+            self.serve()
