Few own connections on a small fleet of few balancers are a fresh start

Cause: a balancer back from a crash holds none of its connections, took the fleet for a large one, asked before each dial and kept groups waiting for their homes.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -290,7 +290,8 @@
         those that are gone, distrusted or strained are replaced. On a small fleet all of it."""
         warm = [s for s in self.fleet if not s.arrival]  # in a deploy the rest would swell the cold budget
         self.size, own = sum(s.size for s in warm or self.fleet) or 1.0, sum(len(s.connections) for s in warm)
-        self.mean, self.sparse = own / self.size, own <= CHANCE * len(self.fleet)
+        many = max(self.balancers, len(self.fleet)) > LEAST  # else few own ones mean a fresh start
+        self.mean, self.sparse = own / self.size, many and own <= CHANCE * len(self.fleet)
         known = LOAD_KEPT * self.probes * self.budget.rate(self.host.now)
         breadth = min(MOST, max(LEAST, math.ceil(known), own // 4))
         if breadth >= len(self.fleet):
@@ -347,8 +348,7 @@
         # A returner starts anew: what was known of it before its restart says nothing.
         server.leaving, server.distrust, share = None, 0.0, self.mean * server.size
         self.budget.tokens[server] = ((self.budget.phase + draw(server.name)) % 1.0, now)
-        # Of many balancers with less than one connection a server, as many as the share says place one.
-        server.arrival = Pace(int(share + self.rng.random()))
+        server.arrival = Pace(int(share + self.rng.random()))  # of many balancers as many as the share says
         why = "cold" if self.budget.cold(server, now) else "back"
         self.host.log(f"arrival {server.name}: {why}, size {server.size:g}, share {share:.1f}")
         if self.rng.random() * len(self.fleet) < len(self.working) and server not in self.working:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -362,6 +362,12 @@
     assert sess.server is (a if asked == "b" else b)
 
 
+def test_a_balancer_restarted_on_a_small_fleet_dials_at_once(start):
+    host = start(probes=True, probe_price=0.001, balancers=4)
+    host.servers(*"abcd")
+    assert host.take().server and not host.asked("probe")
+
+
 def test_a_group_whose_homes_are_full_waits_and_is_not_strewn(start):
     host = start(groups=True, **FEW)
     servers = host.servers(*(f"s{n}" for n in range(60)))
