--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -325,9 +325,9 @@
     host.wait(0.5)
     mine.delay_news(1.0)
     host.wait(0.1)
-    moved = len(host.asked("move"))
+    assert host.asked("move")
     host.wait(5.0)
-    assert moved and a.leaving is None and a.connections
+    assert a.leaving is None and a.connections
 
 
 def test_a_store_too_slow_for_any_dial_stretches_the_dial_times_too(host, lost):
@@ -372,15 +372,13 @@
     host = start(groups=True, **FEW)
     servers = host.servers(*(f"s{n}" for n in range(60)))
     host.loads(**{s.name: 0.1 for s in servers})
-    stretch = {host.balancer.home(host.take(group="g"))}
-    for _ in range(16):
+    stretch = set()
+    for _ in range(17):
         home = host.balancer.home(host.take(group="g", stands=False))
         if home is not None:
             home.strained_at = host.now
             stretch.add(home)
     before = len(host.asked("dial"))
-    for server in stretch:
-        server.strained_at = host.now
     host.balancer.asking = lambda *_: False
     sess = host.take(group="g", stands=False)
     assert 4 <= len(stretch) <= 16 and sess.server is None and len(host.asked("dial")) == before
@@ -430,7 +428,6 @@
 
 
 def test_many_balancers_together_keep_a_cold_servers_budget_and_fill_it(start):
-    """A hundred balancers with ten sessions each on a fleet of twenty; two servers come in cold."""
     hosts = [start(seed, balancers=100, me=seed) for seed in range(100)]
     for host in hosts:
         host.servers(*(f"s{n}" for n in range(20)))
