One guard for the start of a hand-off; no second flag for probing

Whether a server is in service was checked by each of the three callers that start a hand-off nobody told of, one of them by a search through the whole fleet. The check now stands in hand_off itself. Whether probes are sent is read off their rate, not kept beside it; a comment stands over what it explains; a story lost a step it did not need.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -147,7 +147,7 @@
             if 0 < self.listener.message_target < delay:
                 before, server.strained_at = server.strained_at, now
                 self.balancer.blame(server, 0.3)
-                if now - before < STRAIN_FOR and server.readiness is Readiness.IN_SERVICE:
+                if now - before < STRAIN_FOR:
                     # A neighbour takes the machine: late for over a second, its connections earn nothing.
                     self.balancer.hand_off(server, f"messages take {delay:.2f} s")
 
@@ -230,9 +230,9 @@
         self.budget = ColdBudget(settings.cold_share, settings.cold_time, settings.fall_multiple,
                                  settings.me / settings.balancers, host.now)  # fmt: skip
         self.ask_within, self.ask_at = settings.ask_within, host.now + self.rng.random()
-        self.list_lost, self.list_failures, self.probing = settings.watched, 0, settings.probes
+        self.list_lost, self.list_failures = settings.watched, 0
         self.probes = PROBE_POINTS / max(1e-4, settings.probe_price) if settings.probes else 0.0  # a session
-        if self.probing:
+        if self.probes:
             self.later(self.rng.uniform(0.5, 1.5), self.probe_round)
         self.review()
         host.wake_at(host.now + TICK)
@@ -277,9 +277,9 @@
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
         scores = sorted(s.score(now) for s in self.working)
         self.bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
+        self.open_share = sum(map(self.well, self.working)) / max(1, len(self.working))  # those with room
         # Own connections per size that fill a server: with few a server only their sum tells, over the load
         # that servers report on the whole; lacking any, what new ones a server gets over a warm-up.
-        self.open_share = sum(map(self.well, self.working)) / max(1, len(self.working))  # those with room
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
         load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
         self.fill = self.mean / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
@@ -357,7 +357,7 @@
     def leave(self, server: Server, readiness: Readiness) -> None:
         news, server.readiness, server.arrival = server.readiness is Readiness.IN_SERVICE, readiness, None
         if readiness is Readiness.DRAINING and news:
-            self.hand_off(server, "drain")
+            self.hand_off(server, "drain", told=True)
 
     def load_of(self, server: Server) -> float:
         """The load last reported, 0 if none is known; carried on by own connections unless these are few."""
@@ -370,8 +370,8 @@
         figures = [figure for s in servers if (figure := s.latency(self.host.now)) is not None]
         return sum(figures) / len(figures) if figures else None
 
-    def hand_off(self, source: Server, why: str) -> None:
-        if source.connections and not (source.leaving and source.readiness is Readiness.IN_SERVICE):
+    def hand_off(self, source: Server, why: str, told: bool = False) -> None:
+        if source.connections and (told or source.readiness is Readiness.IN_SERVICE and not source.leaving):
             source.leaving = Pace(len(source.connections), source.latency(self.host.now))
             self.host.log(f"hand-off {source.name}: {why}, own connections {source.leaving.count}")
             self.step_hand_off(source, source.leaving)
@@ -497,7 +497,7 @@
     def asking(self, sess: Session, server: Server, now: float) -> bool:
         """Where own connections are too few to tell how full servers are, the one picked is asked before a
         dial; one that does not answer soon is passed over for a while."""
-        if not self.sparse or not self.probing:
+        if not self.sparse or not self.probes:
             return False
         if now - server.load_at < REPORT_AGE:
             # Many balancers that see the same room all fill it: each takes its part by chance, as if alike.
@@ -530,7 +530,7 @@
 
     def load_told(self, server: Server, load: float) -> None:
         server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
-        if load >= SHED_LOAD and server.readiness is Readiness.IN_SERVICE:
+        if load >= SHED_LOAD:
             self.hand_off(server, f"load {load:.2f}")  # overfull: all messages are late until some are moved
 
     def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
@@ -549,7 +549,7 @@
         server.distrust, server.distrust_at = (score := server.score(now) + amount), now
         if score > self.bar:
             self.look()
-        if score >= 2 * DISTRUSTED and score > self.bar and server in self.fleet:
+        if score >= 2 * DISTRUSTED and score > self.bar:
             self.hand_off(server, f"distrust {score:.1f}")  # a sick server that nobody drains
 
     def probe_round(self) -> None:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -287,8 +287,6 @@
     host.servers("a", "b")
     for _ in range(6):
         host.take(customer=over)
-    host.loads(a=0.9, b=0.9)
-    host.wait(0.1)
     low, high = replace(CALLS, utility=2.0), replace(CALLS, utility=5.0)
     host.wait(1.0)
     host.loads(a=0.9, b=0.9)
@@ -431,7 +429,7 @@
     hosts = [start(seed, balancers=100, me=seed) for seed in range(100)]
     for host in hosts:
         host.servers(*(f"s{n}" for n in range(20)))
-        host.balancer.probing = True
+        host.balancer.probes = 0.1
         for _ in range(10):
             host.take()
             host.wait(2.0)
