--- /dev/null
+++ b/onyxhollow/__main__.py
@@ -0,0 +1,45 @@
+"""The command line: serve, check, version."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+
+from onyxhollow import __version__
+
+
+def main(words: list[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="onyxhollow", description="A balancer for long-lived connections.")
+    commands = parser.add_subparsers(dest="command", required=True)
+    for name, does in (("serve", "run one proxy"), ("check", "check a configuration and say what it holds")):
+        command = commands.add_parser(name, help=does)
+        command.add_argument("--config", default=os.environ.get("LB_CONFIG"), help="JSON; else $LB_CONFIG")
+    commands.add_parser("version", help="print the version")
+    told = parser.parse_args(words)
+    if told.command == "version":
+        print(__version__)
+        return 0
+
+    from onyxhollow.lifecycle.config import ConfigError, read_config
+    from onyxhollow.lifecycle.proxy import clock_ahead, serve
+
+    ahead = clock_ahead()
+    try:
+        if not told.config:
+            raise ConfigError("no configuration: neither --config nor $LB_CONFIG")
+        config = read_config(told.config, ahead)
+    except ConfigError as error:
+        sys.stderr.write(f"onyxhollow: {error}\n")
+        return 2
+    if told.command == "check":
+        settings = config.settings
+        listen = f"{config.listen[0]}:{config.listen[1]}"
+        known, listeners = len(config.known.entries), len(settings.listeners)
+        print(f"{config.name}: {listen}, {known} servers known, {listeners} listeners, {settings.balancers} balancers")
+        return 0
+    return serve(config, ahead)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/onyxhollow/benchlink/link.py
+++ b/onyxhollow/benchlink/link.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Hashable
 from typing import IO, Any, BinaryIO
 
-from onyxhollow.benchlink.settings import WireError, read_settings
 from onyxhollow.interface import DialEnd, Entry, ListKind, Readiness
 from onyxhollow.policy import Balancer, Session
+from onyxhollow.settings import WireError, read_settings
 
 ENDS = {
     0: DialEnd.OK,
--- /dev/null
+++ b/onyxhollow/facade.py
@@ -0,0 +1,157 @@
+"""The decision module's Host, seen in blocking style: pick, report, tick.
+
+A session's coroutine waits in Handle.pick for a server, a refusal or a teardown, and reports what came of
+the dial. Nothing of what the module is told or asks for is seen outside this file.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Generator, Hashable, Iterable
+from dataclasses import dataclass
+
+from onyxhollow.interface import Customer, DialEnd, Entry, Listener, ListKind, Settings
+from onyxhollow.memory.counters import Counters
+from onyxhollow.policy import Balancer, Session
+
+
+@dataclass(frozen=True, slots=True)
+class Pick:
+    """What is to be done for a session: dial a server for so long, or (server is None) answer it."""
+
+    server: str | None = None
+    time: float = 0.0
+    refused: bool = False
+    retry_after: float = 0.0
+
+
+class Handle:
+    """One session as the network code sees it."""
+
+    def __init__(self, facade: Facade, wake: Callable[[], None]) -> None:
+        self.facade, self.wake = facade, wake
+        self.sess: Session | None = None
+        self.chosen: Pick | None = None
+        self.call_back = self.move = False  # the dial out is to be given up; the client is to be moved
+        self.dialling = self.answered = False
+
+    def choose(self, chosen: Pick) -> None:
+        must = self.facade.counters.must
+        if not must(not self.answered, "nothing is decided after the answer"):
+            return
+        must(self.chosen is None and not self.dialling, "one dial at a time")
+        self.chosen = chosen
+        self.wake()
+
+    def pick(self, gone: Callable[[], bool]) -> Generator[float, None, Pick | None]:
+        """Waits for the decision; None when the client has gone meanwhile."""
+        while self.chosen is None:
+            if gone():
+                return None
+            yield math.inf
+        chosen, self.chosen = self.chosen, None
+        self.dialling, self.answered = chosen.server is not None, chosen.server is None
+        return chosen
+
+    def report(self, end: DialEnd, took: float, final: bool = False, load: float | None = None) -> None:
+        """How a dial, or the connection that came of it, has ended."""
+        self.dialling = self.call_back = False
+        self.answered = self.answered or final
+        if self.sess:
+            self.sess.dial_ended(end, final, took, load)
+
+    def report_accepted(self, took: float) -> None:
+        self.answered = True
+        if self.sess:
+            self.sess.accepted(took)
+
+    def report_load(self, load: float) -> None:
+        if self.sess:
+            self.sess.load_news(load)
+
+    def report_delay(self, delay: float) -> None:
+        if self.sess:
+            self.sess.delay_news(delay)
+
+    def report_gone(self) -> None:
+        """The client has left; a dial still out is called back where that is allowed."""
+        self.answered = True
+        if self.sess:
+            self.sess.client_gone()
+
+    def give_up(self) -> Pick:
+        """At the end of the stop: the final answer now, by the module's own rule on what may have run."""
+        sess, dialled = self.sess, self.dialling
+        self.dialling, self.chosen = False, None
+        if sess is not None and not sess.answered:
+            if dialled and sess.may_run_at is None:
+                sess.may_run_at = sess.server
+            sess.balancer.end(sess)
+        chosen, self.chosen, self.answered = self.chosen, None, True
+        return chosen or Pick()
+
+
+class Facade:
+    """Carries the module. Its clock is the loop's, its one timer the caller's of tick."""
+
+    def __init__(self, clock: Callable[[], float], settings: Settings, seed: int, counters: Counters,
+                 log: Callable[[str], None], probe: Callable[[str], None],
+                 watch: Callable[[], None]) -> None:  # fmt: skip
+        self.clock, self.settings, self.counters, self.log = clock, settings, counters, log
+        self.probe, self.watch = probe, watch
+        self.due = math.inf
+        self.balancer = Balancer(self, settings, seed)
+
+    @property
+    def now(self) -> float:
+        return self.clock()
+
+    # seen by the network code
+    def take(self, wake: Callable[[], None], listener: Listener, customer: Customer | None, group: Hashable,
+             left: float, load: float | None) -> Handle:  # fmt: skip
+        handle = Handle(self, wake)
+        handle.sess = self.balancer.take(handle, listener, customer, group, left, load)
+        return handle
+
+    def adopt(self, wake: Callable[[], None], listener: Listener, customer: Customer | None, group: Hashable,
+              load: float | None, server: str) -> Handle:  # fmt: skip
+        """A connection that was open before this proxy started."""
+        handle = Handle(self, wake)
+        handle.sess = self.balancer.adopt(handle, listener, customer, group, load, server)
+        handle.dialling = handle.answered = True
+        return handle
+
+    def report_list(self, kind: ListKind, entries: Iterable[Entry] = ()) -> None:
+        self.balancer.server_list(kind, entries)
+
+    def report_probe(self, server: str, end: DialEnd, took: float, load: float | None) -> None:
+        self.balancer.probed(server, end, took, load)
+
+    def tick(self) -> None:
+        self.balancer.tick()
+
+    # asked by the module
+    def dial(self, token: Hashable, server: str, timeout: float) -> None:
+        assert isinstance(token, Handle)
+        token.choose(Pick(server, timeout))
+
+    def cancel(self, token: Hashable, dial: int) -> None:
+        assert isinstance(token, Handle)
+        token.call_back = True
+        token.wake()
+
+    def refuse(self, token: Hashable, retry_after: float) -> None:
+        assert isinstance(token, Handle)
+        token.choose(Pick(refused=True, retry_after=retry_after))
+
+    def tear_down(self, token: Hashable) -> None:
+        assert isinstance(token, Handle)
+        token.choose(Pick())
+
+    def move(self, token: Hashable) -> None:
+        assert isinstance(token, Handle)
+        token.move = True
+        token.wake()
+
+    def wake_at(self, when: float) -> None:
+        self.due = when
--- /dev/null
+++ b/onyxhollow/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, the loop, the log, signals."""
--- /dev/null
+++ b/onyxhollow/lifecycle/loop.py
@@ -0,0 +1,113 @@
+"""The one loop: select.epoll, generators as coroutines, all due times in one heap.
+
+A coroutine yields the time until which it waits (math.inf: for ever) and goes on when that has come or
+something wakes it; it then looks at what has changed. Descriptors are served by callbacks, which wake.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import select
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+
+Coroutine = Generator[float, None, None]
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+LONGEST_NAP = 1.0  # seconds: a lost wake-up costs no more than this
+
+
+class Task:
+    __slots__ = ("loop", "steps", "until", "armed", "queued", "done")
+
+    def __init__(self, loop: Loop, steps: Coroutine) -> None:
+        self.loop, self.steps = loop, steps
+        self.until = self.armed = math.inf
+        self.queued = self.done = False
+
+    def wake(self) -> None:
+        if not self.queued and not self.done:
+            self.queued = True
+            self.loop.runnable.append(self)
+
+
+class Loop:
+    def __init__(self, failed: Callable[[str, BaseException], None]) -> None:
+        self.failed = failed
+        self.epoll = select.epoll()
+        self.watched: dict[int, Callable[[int], None]] = {}
+        self.runnable: deque[Task] = deque()
+        self.due: list[tuple[float, int, Task]] = []
+        self.counter, self.running, self.now = 0, True, time.monotonic()
+        self.lag = 0.0  # how late the loop came to its last due time
+
+    def spawn(self, steps: Coroutine) -> Task:
+        task = Task(self, steps)
+        task.wake()
+        return task
+
+    def watch(self, fd: int, events: int, call: Callable[[int], None] | None) -> None:
+        """What to listen for on a descriptor. With no events it is let go: the end of a connection is told
+        again and again otherwise, and the loop would spin."""
+        known = fd in self.watched
+        if events and call:
+            self.watched[fd] = call
+            (self.epoll.modify if known else self.epoll.register)(fd, events)
+        elif known:
+            del self.watched[fd]
+            self.epoll.unregister(fd)
+
+    def step(self, task: Task) -> None:
+        task.queued = False
+        try:
+            task.until = next(task.steps)
+        except StopIteration:
+            task.done = True
+            return
+        except Exception as error:  # the failure of one coroutine is its own, not the proxy's
+            task.done = True
+            self.failed("coroutine", error)
+            return
+        if task.until < task.armed:
+            task.armed = task.until
+            self.counter += 1
+            heapq.heappush(self.due, (task.until, self.counter, task))
+
+    def fire_due(self) -> None:
+        while self.due and self.due[0][0] <= self.now:
+            when, _, task = heapq.heappop(self.due)
+            if task.done or when != task.armed:
+                continue
+            task.armed = math.inf
+            if task.until <= self.now:
+                self.lag = self.now - when
+                task.wake()
+            elif task.until < math.inf:  # it waits for longer by now
+                task.armed = task.until
+                self.counter += 1
+                heapq.heappush(self.due, (task.until, self.counter, task))
+
+    def run(self) -> None:
+        while self.running:
+            nap = LONGEST_NAP
+            if self.runnable:
+                nap = 0.0
+            elif self.due:
+                nap = min(LONGEST_NAP, max(0.0, self.due[0][0] - time.monotonic()))
+            try:
+                events = self.epoll.poll(nap)
+            except InterruptedError:
+                events = []
+            self.now = time.monotonic()
+            for fd, what in events:
+                call = self.watched.get(fd)
+                if call is None:
+                    continue  # let go by one served before it
+                try:
+                    call(what)
+                except Exception as error:
+                    self.failed("descriptor", error)
+            self.fire_due()
+            for _ in range(len(self.runnable)):
+                self.step(self.runnable.popleft())
--- /dev/null
+++ b/onyxhollow/lifecycle/proxy.py
@@ -0,0 +1,211 @@
+"""Start and stop of one proxy: puts the parts together, runs the loop, ends in order."""
+
+from __future__ import annotations
+
+import errno
+import gc
+import math
+import os
+import resource
+import signal
+import socket
+import sys
+import time
+import traceback
+from collections.abc import Generator
+
+from onyxhollow.facade import Facade
+from onyxhollow.interface import DialEnd, Entry, ListKind
+from onyxhollow.lifecycle.config import Config
+from onyxhollow.lifecycle.log import Log
+from onyxhollow.lifecycle.loop import READ, Loop
+from onyxhollow.memory.buffers import BufferPool
+from onyxhollow.memory.counters import Counters
+from onyxhollow.memory.tables import Addresses
+from onyxhollow.wire.channel import listen_socket
+from onyxhollow.wire.discovery import Discovery
+from onyxhollow.wire.probes import Probes
+from onyxhollow.wire.sessions import Sessions
+
+ACCEPTS = 64  # connections taken in one turn of the loop, so that those open are not kept waiting
+NO_DESCRIPTOR = 0.05  # seconds until accepting is tried again when there are no descriptors
+LONGEST_STOP = 3.0  # seconds from SIGTERM to SIGKILL, as far as the longest dial timeout counts ...
+STOP_MORE = 0.7  # ... and these more
+STILL_COMING = 0.5  # seconds for which connections go on coming after SIGTERM
+STOP_MARGIN = 0.9  # seconds before SIGKILL by which all clients have been told to move
+
+
+class Proxy:
+    def __init__(self, config: Config, clock_ahead: float, out: int = 1) -> None:
+        self.config = config
+        self.counters, self.pool, self.addresses = Counters(), BufferPool(), Addresses()
+        self.log = Log(out, config.name)
+        self.loop = Loop(self.failed)
+        self.stopping = False
+        self.listener = listen_socket(config.listen)
+        settings = config.settings
+        for name, address in config.known.addresses.items():
+            self.addresses.learn(name, address)
+        self.discovery = Discovery(
+            self.loop, self.pool, self.counters, config.discovery, wait=settings.ask_within / 2,
+            clock_ahead=clock_ahead, version=config.known.version, addresses=self.addresses,
+            told=self.list_told, log=self.log.event,
+        )  # fmt: skip
+        self.probes = Probes(
+            self.loop, self.pool, self.counters, self.addresses, settings.load_field, config.probe_time,
+            told=self.probe_told,
+        )  # fmt: skip
+        self.facade = Facade(
+            lambda: self.loop.now, settings, config.seed, self.counters,
+            log=lambda line: self.log.event("mode", line=line),
+            probe=self.probes.probe, watch=self.discovery.ask,
+        )  # fmt: skip
+        self.facade.report_list(ListKind.CACHED, config.known.entries)
+        self.sessions = Sessions(
+            self.loop, self.pool, self.counters, self.addresses, self.facade, settings.listeners,
+            settings.customers, settings.load_field, config.connect_time, self.log.event,
+        )  # fmt: skip
+        longest = max(row.dial_timeout for row in settings.listeners.values())
+        self.stop_span = min(LONGEST_STOP, longest) + STOP_MORE - STOP_MARGIN
+        self.loop.spawn(self.ticks())
+        self.loop.watch(self.listener.fileno(), READ, self.accept)
+
+    # told by the wire
+
+    def list_told(self, kind: ListKind, entries: list[Entry]) -> None:
+        try:
+            self.facade.report_list(kind, entries)
+        except Exception as error:  # the list must go on being followed
+            self.failed("list", error)
+
+    def probe_told(self, server: str, end: DialEnd, took: float, load: float | None) -> None:
+        self.facade.report_probe(server, end, took, load)
+
+    def ticks(self) -> Generator[float, None, None]:
+        """The module's one timer. A failure in it is logged, and the timer goes on."""
+        while True:
+            while self.loop.now < self.facade.due:
+                yield self.facade.due
+            try:
+                self.facade.tick()
+            except Exception as error:
+                self.failed("tick", error)
+                self.facade.due = self.loop.now + 0.05
+
+    def accept(self, _: int) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                sock, _peer = self.listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    # Told again at once for as long as it waits: the loop would spin on it.
+                    self.counters.add("accepts without a descriptor")
+                    self.loop.watch(self.listener.fileno(), 0, None)
+                    self.loop.spawn(self.accept_again())
+                    return
+                continue  # that connection has gone already
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.counters.add("connections accepted")
+            self.sessions.accept(sock)
+
+    def accept_again(self) -> Generator[float, None, None]:
+        until = self.loop.now + NO_DESCRIPTOR
+        while self.loop.now < until:
+            yield until
+        if self.listener.fileno() >= 0:
+            self.loop.watch(self.listener.fileno(), READ, self.accept)
+
+    def failed(self, where: str, error: BaseException) -> None:
+        self.counters.add("failures")
+        trace = traceback.format_exception(error)
+        self.log.event("failure", where=where, error=repr(error), trace="".join(trace)[-2000:])
+
+    # start and stop
+
+    def run(self) -> None:
+        reader, writer = socket.socketpair()
+        for end in (reader, writer):
+            end.setblocking(False)
+        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+            signal.signal(number, lambda *_: None)
+
+        def told(_: int) -> None:
+            for number in reader.recv(64):
+                if number == signal.SIGUSR1:
+                    self.print_counters()
+                elif not self.stopping:
+                    self.stopping = True
+                    self.loop.spawn(self.stop())
+
+        self.loop.watch(reader.fileno(), READ, told)
+        gc.freeze()
+        self.log.event("start", listen=self.config.listen, servers=len(self.config.known.entries))
+        self.loop.run()
+        self.print_counters()
+
+    def print_counters(self) -> None:
+        gauges = {"live": len(self.sessions.live), "descriptors": len(self.loop.watched),
+                  "log lines dropped": self.log.dropped}  # fmt: skip
+        self.log.event("counters", **self.counters.snapshot(), **gauges)
+
+    def stop(self) -> Generator[float, None, None]:
+        """Goes on taking and serving sessions while they come. Open ones are moved one after another over
+        the time there is: all at once they would be a mass reconnect for the others."""
+        began, last = self.loop.now, self.loop.now + self.stop_span
+        self.log.event("stop", live=len(self.sessions.live), within=round(self.stop_span, 2))
+        while self.sessions.live and self.loop.now < last:
+            now = self.loop.now
+            if now >= began + STILL_COMING:
+                self.stop_listening()
+            open_ones = [sess for sess in self.sessions.live if sess.open and not sess.stopping]
+            step = 0.05
+            share = step / max(step, last - 0.5 - now)
+            for sess in open_ones[: math.ceil(len(open_ones) * share)]:
+                sess.stop()
+            until = now + step
+            while self.loop.now < until:
+                yield until
+        while self.loop.now < began + STILL_COMING:
+            yield began + STILL_COMING
+        self.stop_listening()
+        for sess in list(self.sessions.live):
+            sess.stop_by = self.loop.now
+            sess.stop()
+        until = self.loop.now + 0.4  # last lines on their way out
+        while self.loop.now < until and len(self.loop.watched) > 1:
+            yield until
+        self.log.event("stopped", live=len(self.sessions.live), took=round(self.loop.now - began, 2))
+        self.loop.running = False
+
+    def stop_listening(self) -> None:
+        if self.listener.fileno() >= 0:
+            self.accept(0)  # those the system has accepted already are taken
+            self.loop.watch(self.listener.fileno(), 0, None)
+            self.listener.close()
+
+
+def raise_descriptor_limit() -> None:
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != hard:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
+def serve(config: Config, clock_ahead: float) -> int:
+    raise_descriptor_limit()
+    os.set_blocking(sys.stdout.fileno(), False)
+    try:
+        proxy = Proxy(config, clock_ahead, sys.stdout.fileno())
+    except OSError as error:
+        sys.stderr.write(f"listen {config.listen[0]}:{config.listen[1]}: {error.strerror}\n")
+        return 2
+    proxy.run()
+    return 0
+
+
+def clock_ahead() -> float:
+    """What Unix time is ahead of the loop's clock; taken once, so that start times compare as equal."""
+    return time.time() - time.monotonic()
--- /dev/null
+++ b/onyxhollow/memory/__init__.py
@@ -0,0 +1,1 @@
+"""What the proxy keeps in memory: sessions, server addresses, buffers, counters."""
--- /dev/null
+++ b/onyxhollow/wire/channel.py
@@ -0,0 +1,190 @@
+"""One non-blocking connection that reads lines and writes what it is given."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import socket
+import struct
+from collections.abc import Callable, Generator
+
+from onyxhollow.lifecycle.loop import READ, WRITE, Loop
+from onyxhollow.memory.buffers import BufferPool, LineBuffer
+from onyxhollow.memory.tables import Address
+
+FULL = 64 * 1024  # bytes waiting to be written past which the other side is not read on
+LINGER = 1.0  # seconds a closed connection is drained, so that its last bytes are not lost to a reset
+ABORT = struct.pack("ii", 1, 0)
+
+
+class Channel:
+    def __init__(self, loop: Loop, sock: socket.socket, pool: BufferPool, wake: Callable[[], None],
+                 connecting: bool = False) -> None:  # fmt: skip
+        self.loop, self.sock, self.fd, self.wake = loop, sock, sock.fileno(), wake
+        self.inbox, self.out = LineBuffer(pool), bytearray()
+        self.connecting, self.paused = connecting, False
+        self.ended = self.broken = self.closed = self.wrote = False  # ended: told its end; broken: by a reset
+        self.listen()
+
+    @classmethod
+    def dial(cls, loop: Loop, address: Address, pool: BufferPool, wake: Callable[[], None]) -> Channel:
+        """A connection on its way up; OSError if it can't even be begun."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            begun = sock.connect_ex(address)
+            if begun not in (0, errno.EINPROGRESS):
+                raise OSError(begun, "connect")
+        except OSError:
+            sock.close()
+            raise
+        return cls(loop, sock, pool, wake, connecting=True)
+
+    def listen(self) -> None:
+        if self.closed:
+            return
+        if self.connecting:
+            events = WRITE
+        else:
+            events = (0 if self.ended or self.paused else READ) | (WRITE if self.out else 0)
+        self.loop.watch(self.fd, events, self.ready)
+
+    def ready(self, events: int) -> None:
+        if self.connecting:
+            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self.ended = self.broken = True
+            self.connecting = False
+            if self.broken:
+                self.loop.watch(self.fd, 0, None)
+                self.wake()
+                return
+            self.flush()
+        if events & WRITE:
+            self.flush()
+        if not self.ended and not self.paused and events & ~WRITE:
+            self.read()
+        self.wake()
+        self.listen()
+
+    def read(self) -> None:
+        space = self.inbox.space()
+        if not space:
+            self.paused = True
+            return
+        try:
+            count = self.sock.recv_into(space)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self.ended = self.broken = True
+            self.out.clear()
+            return
+        if count:
+            self.inbox.filled(count)
+        else:
+            self.ended = True
+
+    def line(self) -> memoryview | None:
+        return self.inbox.line()
+
+    def settle(self, paused: bool) -> None:
+        """After its lines were used: gives an empty buffer back and reads on unless told to pause."""
+        self.inbox.release()
+        if paused != self.paused:
+            self.paused = paused
+            self.listen()
+
+    def write(self, data: bytes | memoryview) -> None:
+        """Sends at once what goes; only the rest is copied."""
+        if self.closed or self.broken:
+            return
+        if not self.out and not self.connecting:
+            try:
+                sent = self.sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError:
+                self.fail()
+                return
+            if sent == len(data):
+                self.wrote = True
+                return
+            data = memoryview(data)[sent:]
+        self.out += data
+        self.listen()
+
+    def flush(self) -> None:
+        if not self.out:
+            return
+        try:
+            del self.out[: self.sock.send(self.out)]
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self.fail()
+            return
+        if not self.out:
+            self.wrote = True
+
+    def fail(self) -> None:
+        """A write failed: what was read before may still be used."""
+        self.ended = self.broken = True
+        self.out.clear()
+        self.loop.watch(self.fd, 0, None)
+        self.wake()
+
+    @property
+    def full(self) -> bool:
+        return len(self.out) > FULL
+
+    def close(self) -> None:
+        if not self.closed:
+            self.loop.watch(self.fd, 0, None)
+            self.closed = self.ended = True
+            self.inbox.drop()
+            self.sock.close()
+
+    def reset(self) -> None:
+        """Ends it as one that broke."""
+        if not self.closed:
+            with contextlib.suppress(OSError):  # already gone
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT)
+            self.close()
+
+    def finish(self) -> None:
+        """Ends it in order: what is to be written goes out, what still comes is read and thrown away. Closed
+        with bytes unread the system would reset it, and its last line would be lost on the way."""
+        if not self.closed:
+            task = self.loop.spawn(self.drain())
+            self.wake = task.wake
+
+    def drain(self) -> Generator[float, None, None]:
+        until = self.loop.now + LINGER
+        shut = False
+        try:
+            while self.loop.now < until and not self.broken:
+                self.inbox.drop()
+                self.settle(False)
+                if not self.out and not shut:
+                    shut = True
+                    try:
+                        self.sock.shutdown(socket.SHUT_WR)
+                    except OSError:
+                        return
+                if shut and self.ended:
+                    return
+                yield until
+        finally:
+            self.close()
+
+
+def listen_socket(address: Address, backlog: int = 1024) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind(address)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/onyxhollow/wire/discovery.py
@@ -0,0 +1,182 @@
+"""Follows the server list over HTTP: a watch as long as it holds, a new one when the module asks."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import orjson
+
+from onyxhollow.interface import Entry, ListKind, Readiness
+from onyxhollow.lifecycle.loop import Loop
+from onyxhollow.memory.buffers import BufferPool
+from onyxhollow.memory.counters import Counters
+from onyxhollow.memory.tables import Address, Addresses
+from onyxhollow.wire.channel import Channel
+
+READY = {"active": Readiness.IN_SERVICE, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
+ANSWER = 2.0  # seconds for an answer beyond the wait that was asked for
+LARGEST = 4 * 1024 * 1024  # bytes of one list
+
+
+class ListError(Exception):
+    """An answer that is not a list of servers."""
+
+
+@dataclass(slots=True)
+class ServerList:
+    version: int
+    whole: bool
+    entries: list[Entry]
+    addresses: dict[str, Address]
+
+
+def read_address(text: Any) -> Address:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ListError(f"address: impossible value {text!r}")
+    return host, int(port)
+
+
+def read_list(told: Any, clock_ahead: float) -> ServerList:
+    """clock_ahead: what Unix time is ahead of the loop's clock."""
+    if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
+        raise ListError("not an object with hosts")
+    version = told.get("seq")
+    if isinstance(version, bool) or not isinstance(version, int):
+        raise ListError(f"seq: impossible value {version!r}")
+    entries: list[Entry] = []
+    addresses: dict[str, Address] = {}
+    for row in told["hosts"]:
+        if not isinstance(row, dict) or not isinstance(row.get("host"), str) or not row["host"]:
+            raise ListError(f"host: impossible value {row!r}")
+        name, ready = row["host"], READY.get(row.get("health", ""))
+        if ready is None:
+            raise ListError(f"health: impossible value {row.get('health')!r}")
+        if ready is not Readiness.GONE or row.get("dial"):
+            addresses[name] = read_address(row.get("dial"))
+        size, born, cell = row.get("share", 1.0), row.get("born_ms") or 0, row.get("block") or 0
+        for value in (size, born, cell):
+            if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
+                raise ListError(f"{name}: impossible figure {value!r}")
+        entries.append(Entry(
+            name=name, readiness=ready, size=float(size) or 1.0,
+            started=born / 1000 - clock_ahead if born else None,
+            zone=str(row.get("site") or ""), cell=int(cell),
+        ))  # fmt: skip
+    return ServerList(version, told.get("whole") is True, entries, addresses)
+
+
+class Call:
+    """One HTTP connection to discovery, used for one call after another while it lives."""
+
+    def __init__(self, loop: Loop, address: Address, pool: BufferPool, wake: Callable[[], None]) -> None:
+        self.loop = loop
+        self.channel = Channel.dial(loop, address, pool, wake)
+        self.speaker = h11.Connection(h11.CLIENT)
+        self.host = f"{address[0]}:{address[1]}"
+
+    @property
+    def reusable(self) -> bool:
+        return not self.channel.ended and self.speaker.our_state is h11.IDLE
+
+    def get(self, target: str, until: float) -> Generator[float, None, bytes]:
+        headers = [("Host", self.host), ("Accept", "application/json")]
+        request = h11.Request(method="GET", target=target, headers=headers)
+        for part in (request, h11.EndOfMessage()):
+            self.channel.write(self.speaker.send(part) or b"")
+        body = bytearray()
+        while True:
+            event = self.speaker.next_event()
+            if event is h11.NEED_DATA:
+                if len(self.channel.inbox):
+                    self.speaker.receive_data(self.channel.inbox.rest())
+                    self.channel.settle(False)
+                elif self.channel.ended:
+                    if self.channel.broken:
+                        raise ListError("reset")
+                    self.speaker.receive_data(b"")
+                elif self.loop.now >= until:
+                    raise ListError("silence")
+                else:
+                    yield until
+            elif isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    raise ListError(f"status {event.status_code}")
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > LARGEST:
+                    raise ListError("list too long")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                raise ListError("half an answer")
+        if self.speaker.our_state is h11.DONE and self.speaker.their_state is h11.DONE:
+            self.speaker.start_next_cycle()
+        return bytes(body)
+
+
+class Discovery:
+    def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, address: Address, wait: float,
+                 clock_ahead: float, version: int, addresses: Addresses,
+                 told: Callable[[ListKind, list[Entry]], None],
+                 log: Callable[..., None]) -> None:  # fmt: skip
+        self.loop, self.pool, self.counters, self.address = loop, pool, counters, address
+        self.wait, self.clock_ahead, self.version = wait, clock_ahead, version
+        self.addresses, self.told, self.log = addresses, told, log
+        self.asked, self.watching = False, False
+        self.call: Call | None = None
+        self.task = loop.spawn(self.follow())
+
+    def ask(self) -> None:
+        """The module wants to be told from now on."""
+        self.asked = True
+        self.task.wake()
+
+    def follow(self) -> Generator[float, None, None]:
+        while True:
+            while not self.asked:
+                yield math.inf
+            self.asked, first = False, True
+            while True:
+                # The first call answers at once: a list that is late to change would look like no list.
+                wait = 0.001 if first else self.wait
+                if not (yield from self.ask_once(wait)):
+                    break
+                first = False
+
+    def ask_once(self, wait: float) -> Generator[float, None, bool]:
+        target = "/v1/endpoints"
+        if self.version >= 0:
+            target += f"?index={self.version}&wait={round(wait * 1000)}"
+        self.counters.add("list calls")
+        try:
+            if self.call is None or not self.call.reusable:
+                self.hang_up()
+                self.call = Call(self.loop, self.address, self.pool, lambda: self.task.wake())
+            body = yield from self.call.get(target, self.loop.now + wait + ANSWER)
+            news = read_list(orjson.loads(body), self.clock_ahead)
+        except (ListError, OSError, ValueError, h11.ProtocolError) as error:
+            self.hang_up()
+            self.counters.add("list failures")
+            self.log("list failed", why=str(error)[:200], version=self.version)
+            self.version = -1 if isinstance(error, ValueError) else self.version
+            self.told(ListKind.FAILED, [])
+            return False
+        for name, address in news.addresses.items():
+            self.addresses.learn(name, address)
+        if news.entries or news.whole or news.version != self.version:
+            rows = [f"{e.name} {e.readiness.value}" for e in news.entries]
+            self.log("list", version=news.version, whole=news.whole, rows=rows[:24])
+        self.version = news.version
+        self.asked = False
+        self.told(ListKind.FULL if news.whole else ListKind.CHANGES, news.entries)
+        return True
+
+    def hang_up(self) -> None:
+        if self.call is not None:
+            self.call.channel.close()
+            self.call = None
--- /dev/null
+++ b/onyxhollow/wire/sessions.py
@@ -0,0 +1,353 @@
+"""Sessions: from the client's first line to the end of its connection."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable, Generator
+from typing import Any
+
+from onyxhollow.facade import Facade, Handle
+from onyxhollow.interface import Customer, DialEnd, Listener
+from onyxhollow.lifecycle.loop import Loop, Task
+from onyxhollow.memory.buffers import BufferPool, LongLineError
+from onyxhollow.memory.counters import Counters
+from onyxhollow.memory.tables import Addresses
+from onyxhollow.wire.channel import Channel
+from onyxhollow.wire.messages import MalformedError, Opening, read_opening, read_report, rest, word
+
+Steps = Generator[float, None, None]
+
+FIRST_LINE = 30.0  # seconds in which a connection says what it wants
+ADOPTED = 39.0  # seconds for a connection that was open before the run to be up again
+ADOPT_AGAIN = 0.25  # seconds between tries for such a one
+SILENT = 5.0  # seconds without an echo after which a server counts as gone
+LATE_AGAIN = 0.5  # seconds from word to word of an echo that is still out
+AFTER_ANSWER = {b"BYE": DialEnd.OK, b"MOVE": DialEnd.CANCELLED, b"ERR": DialEnd.ERROR}
+BEFORE_ANSWER = {b"BUSY": DialEnd.FULL, b"ERR": DialEnd.ERROR, b"BYE": DialEnd.OK, b"MOVE": DialEnd.CANCELLED}
+
+
+class Sessions:
+    """Makes sessions of accepted connections; holds what they share."""
+
+    def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, addresses: Addresses, facade: Facade,
+                 listeners: dict[str, Listener], customers: dict[str, Customer], load_field: str,
+                 connect_time: float, log: Callable[..., None]) -> None:  # fmt: skip
+        self.loop, self.pool, self.counters, self.addresses = loop, pool, counters, addresses
+        self.facade, self.listeners, self.customers = facade, listeners, customers
+        self.load_field, self.connect_time, self.log = load_field, connect_time, log
+        self.live: dict[ClientSession, None] = {}
+
+    def accept(self, sock: Any) -> None:
+        ClientSession(self, sock)
+
+
+class ClientSession:
+    """One client's connection."""
+
+    stop_by = math.inf  # when the proxy stops, the time by which it must have its answer
+
+    def __init__(self, shared: Sessions, sock: Any) -> None:
+        self.shared, self.loop, self.counters = shared, shared.loop, shared.counters
+        self.client = Channel(self.loop, sock, shared.pool, self.wake)
+        self.server: Channel | None = None
+        self.handle: Handle | None = None
+        self.opening: Opening | None = None
+        self.stopping = self.open = False  # open: UP has been passed on
+        self.dials, self.name, self.end = 0, "", ""
+        shared.live[self] = None
+        self.task: Task = self.loop.spawn(self.run())
+
+    def wake(self) -> None:
+        self.task.wake()
+
+    def gone(self) -> bool:
+        return self.client.ended or self.stopping and not self.open and self.handle is not None
+
+    def run(self) -> Steps:
+        try:
+            line = yield from self.first_line()
+            if line is not None:
+                self.opening = read_opening(line)
+                yield from self.serve(self.opening)
+        except (MalformedError, LongLineError) as error:
+            self.counters.add("malformed lines")
+            self.shared.log("malformed", why=str(error) or "line over 4 KiB", open=self.open)
+            if self.server is not None:
+                self.server.close()
+            if self.handle is None and not self.client.ended:
+                self.client.write(b"ERR\r\n")
+            self.client.finish()
+        except Exception as error:
+            # The module or this code failed: the session is still owed an answer, and the proxy goes on.
+            self.loop.failed("session", error)
+            if not self.open and not self.client.closed:
+                self.answer(False, 0.0)
+        finally:
+            del self.shared.live[self]
+            for channel in (self.client, self.server):
+                if channel is not None and channel.wake == self.wake:
+                    channel.close()
+            if self.opening is not None:
+                self.shared.log("session", id=self.opening.line[5:21], server=self.name, dials=self.dials,
+                                end=self.end)  # fmt: skip
+
+    def first_line(self) -> Generator[float, None, memoryview | None]:
+        client, until = self.client, self.loop.now + FIRST_LINE
+        while True:
+            line = client.line()
+            if line is not None:
+                if word(line) != b"PING":
+                    return line
+                self.counters.add("pings")
+                client.write(b"PONG\r\n")
+                until = self.loop.now + FIRST_LINE
+            elif client.ended or self.loop.now >= until or self.stopping:
+                if half := client.inbox.rest():
+                    raise MalformedError(f"half a line of {len(half)} bytes")
+                client.finish()
+                return None
+            else:
+                client.settle(False)
+                yield until
+
+    # before UP
+
+    def serve(self, opening: Opening) -> Steps:
+        shared = self.shared
+        listener = shared.listeners.get(opening.listener)
+        if listener is None:
+            raise MalformedError(f"no such class {opening.listener[:40]!r}")
+        customer = shared.customers.get(opening.customer)
+        self.counters.add("sessions taken")
+        if opening.at is not None:
+            yield from self.adopt(opening, listener, customer)
+            return
+        took_at = self.loop.now
+        handle = self.handle = shared.facade.take(
+            self.wake, listener, customer, opening.group, opening.left, opening.load
+        )
+        while True:
+            choice = yield from handle.pick(self.gone)
+            if choice is None:
+                if self.client.ended:
+                    self.leave(handle)
+                else:
+                    self.answer(handle.give_up().refused, 0.0)
+                return
+            if choice.server is None:
+                self.answer(choice.refused, choice.retry_after)
+                return
+            self.name = choice.server
+            self.dials += 1
+            self.counters.add("dials")
+            started = self.loop.now
+            end, load = yield from self.dial(choice.server, opening, choice.time)
+            took = self.loop.now - started
+            if end is None:
+                self.counters.add("sessions accepted")
+                handle.report_accepted(took)
+                yield from self.relay(handle)
+                return
+            self.counters.add(f"dials {end.value}")
+            self.shared.log("dial", id=opening.line[5:21], server=choice.server, end=end.value,
+                            took=round(took, 4), given=round(choice.time, 3),
+                            since=round(self.loop.now - took_at, 4))  # fmt: skip
+            if self.client.ended:
+                self.leave(handle)
+                handle.report(end, took, True, load)
+                return
+            if self.loop.now >= self.stop_by:
+                self.answer(handle.give_up().refused, 0.0)
+                return
+            handle.report(end, took, False, load)
+
+    def leave(self, handle: Handle) -> None:
+        """The client has gone before it was answered."""
+        self.counters.add("clients gone before an answer")
+        self.end = "client gone"
+        handle.report_gone()
+        self.client.finish()
+
+    def answer(self, refused: bool, retry_after: float) -> None:
+        self.counters.add("sessions refused" if refused else "sessions torn down")
+        self.end = "refused" if refused else "torn down"
+        if not refused:
+            self.client.write(b"ERR\r\n")
+        elif retry_after >= 0.001:
+            self.client.write(b"BUSY %d\r\n" % round(retry_after * 1000))
+        else:
+            self.client.write(b"BUSY\r\n")
+        self.client.finish()
+
+    def dial(self, name: str, opening: Opening,
+             wait: float) -> Generator[float, None, tuple[DialEnd | None, float | None]]:  # fmt: skip
+        """One dial: None when the server has said UP (passed on already), else how it ended. Its connection
+        is closed then: a copy left behind could still run."""
+        started, handle, client = self.loop.now, self.handle, self.client
+        until, up_by = started + wait, started + min(wait, self.shared.connect_time)
+        address = self.shared.addresses.find(name)
+        if address is None:
+            return DialEnd.CONNECT_FAILED, None
+        try:
+            server = Channel.dial(self.loop, address, self.shared.pool, self.wake)
+        except OSError:
+            return DialEnd.CONNECT_FAILED, None
+        self.server = server
+        end, load, told_gone = DialEnd.UNKNOWN, None, False
+        try:
+            while server.connecting and self.loop.now < up_by and not server.broken:
+                if handle and handle.call_back:
+                    return DialEnd.CANCELLED, None
+                yield up_by
+            if server.connecting or server.broken:
+                return DialEnd.CONNECT_FAILED, None
+            left = opening.line if opening.at else opening.forwarded(until - self.loop.now)
+            server.write(left)
+            while True:
+                if (line := server.line()) is not None:
+                    first = word(line)
+                    if first == b"UP" and not client.ended:
+                        client.write(line)
+                        self.open = True
+                        return None, None
+                    if first == b"UP":
+                        return DialEnd.CANCELLED, None
+                    end = BEFORE_ANSWER.get(first, DialEnd.UNKNOWN)
+                    load = read_report(rest(line), self.shared.load_field)
+                    return end, load
+                if server.ended:
+                    return (DialEnd.RESET if server.wrote else DialEnd.CONNECT_FAILED), None
+                if self.loop.now >= until:
+                    return (DialEnd.TIMEOUT if server.wrote else DialEnd.CONNECT_FAILED), None
+                if handle and client.ended and not told_gone:
+                    told_gone = True
+                    handle.report_gone()
+                if handle and handle.call_back:
+                    return DialEnd.CANCELLED, None
+                if self.loop.now >= self.stop_by:
+                    return DialEnd.TIMEOUT, None
+                yield until
+        finally:
+            if not self.open:
+                server.close()
+                self.server = None
+
+    def adopt(self, opening: Opening, listener: Listener, customer: Customer | None) -> Steps:
+        """A connection that was open before the run: to that server and no other, until it is up."""
+        name, until = opening.at or "", self.loop.now + ADOPTED
+        self.name = name
+        while True:
+            end, _ = yield from self.dial(name, opening, until - self.loop.now)
+            if end is None:
+                break
+            if self.client.ended or self.loop.now >= until:
+                self.answer(False, 0.0)
+                return
+            again = self.loop.now + ADOPT_AGAIN
+            while self.loop.now < again:
+                yield again
+        self.counters.add("sessions adopted")
+        handle = self.handle = self.shared.facade.adopt(
+            self.wake, listener, customer, opening.group, opening.load, name
+        )
+        yield from self.relay(handle)
+
+    # from UP on
+
+    def relay(self, handle: Handle) -> Steps:
+        """Passes lines both ways until one side ends, or the client is to be moved."""
+        client, server, started = self.client, self.server, self.loop.now
+        assert server is not None
+        echoes: deque[float] = deque()  # when lines went to the server that it has not brought back
+        heard, told, last = started, started, b""
+        while True:
+            while (line := server.line()) is not None:
+                heard, first = self.loop.now, word(line)
+                if first == b"LOAD":
+                    self.read_load(handle, line)
+                elif first in AFTER_ANSWER:
+                    last = first
+                elif echoes:
+                    handle.report_delay(self.loop.now - echoes.popleft())
+                client.write(line)
+            if server.ended and (half := server.inbox.rest()):
+                self.counters.add("half lines")
+                client.write(half)
+            while not server.full and (line := client.line()) is not None:
+                echoes.append(self.loop.now)
+                server.write(line)
+            if server.ended:
+                self.finish_with(handle, AFTER_ANSWER.get(last, DialEnd.RESET), started)
+                return
+            if client.ended:
+                self.client_left(handle, started)
+                return
+            now = self.loop.now
+            if handle.move or self.stopping:
+                self.move(handle, "moved" if handle.move else "moved at stop", DialEnd.CANCELLED, started)
+                return
+            until = math.inf
+            if echoes:
+                age = now - max(echoes[0], heard)
+                if age >= SILENT:
+                    # A machine that vanished says nothing, and keep-alive does not notice.
+                    self.move(handle, "silent server", DialEnd.RESET, started)
+                    return
+                until = now + SILENT - age
+                if now - echoes[0] >= LATE_AGAIN:
+                    if now - told >= LATE_AGAIN:
+                        told = now
+                        handle.report_delay(now - echoes[0])
+                    until = min(until, told + LATE_AGAIN)
+                else:
+                    until = min(until, echoes[0] + LATE_AGAIN)
+            client.settle(server.full)
+            server.settle(client.full)
+            yield until
+
+    def read_load(self, handle: Handle, line: memoryview) -> None:
+        try:
+            handle.report_load(float(rest(line)))
+        except ValueError:
+            self.counters.add("malformed lines")
+
+    def move(self, handle: Handle, why: str, end: DialEnd, started: float) -> None:
+        """MOVE goes between two lines: only whole lines are ever put into the client's buffer."""
+        self.counters.add(f"clients {why}")
+        self.client.write(b"MOVE\r\n")
+        self.client.finish()
+        if self.server:
+            self.server.finish()
+        self.end = why
+        handle.report(end, self.loop.now - started, True)
+
+    def finish_with(self, handle: Handle, end: DialEnd, started: float) -> None:
+        """The server has ended it: the client's side ends the same way, after the last bytes."""
+        self.counters.add(f"connections {end.value}")
+        self.end = end.value
+        server = self.server
+        if server is not None and server.broken and not self.client.out:
+            self.client.reset()
+        else:
+            self.client.finish()
+        if server is not None:
+            server.close()
+        handle.report(end, self.loop.now - started, True)
+
+    def client_left(self, handle: Handle, started: float) -> None:
+        self.counters.add("connections ended by the client")
+        self.end = "client left"
+        if self.server is not None:
+            if self.client.broken:
+                self.server.reset()
+            else:
+                self.server.finish()
+        self.client.close()
+        handle.report_gone()
+        handle.report(DialEnd.CANCELLED, self.loop.now - started, True)
+
+    def stop(self) -> None:
+        """This proxy stops: an open connection is moved; one that waits is answered by the given time."""
+        self.stopping = True
+        self.wake()
