--- a/onyxhollow/__main__.py
+++ b/onyxhollow/__main__.py
@@ -33,10 +33,9 @@
         sys.stderr.write(f"onyxhollow: {error}\n")
         return 2
     if told.command == "check":
-        settings = config.settings
-        listen = f"{config.listen[0]}:{config.listen[1]}"
-        known, listeners = len(config.known.entries), len(settings.listeners)
-        print(f"{config.name}: {listen}, {known} servers known, {listeners} listeners, {settings.balancers} balancers")
+        settings, (host, port) = config.settings, config.listen
+        print(f"{config.name}: listens on {host}:{port}, one of {settings.balancers} balancers")
+        print(f"servers known {len(config.known.entries)}, listeners {len(settings.listeners)}")
         return 0
     return serve(config, ahead)
 
