--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -89,7 +89,7 @@
                 if channel is not None and channel.wake == self.wake:
                     channel.close()
             if self.opening is not None:
-                self.shared.log("session", id=self.opening.line[5:21], server=self.name, dials=self.dials,
+                self.shared.log("session", id=str(self.opening.line[5:21], 'ascii'), server=self.name, dials=self.dials,
                                 end=self.end)  # fmt: skip
 
     def first_line(self) -> Generator[float, None, memoryview | None]:
@@ -150,7 +150,7 @@
                 yield from self.relay(handle)
                 return
             self.counters.add(f"dials {end.value}")
-            self.shared.log("dial", id=opening.line[5:21], server=choice.server, end=end.value,
+            self.shared.log("dial", id=str(opening.line[5:21], 'ascii'), server=choice.server, end=end.value,
                             took=round(took, 4), given=round(choice.time, 3),
                             since=round(self.loop.now - took_at, 4))  # fmt: skip
             if self.client.ended:
