Stories on loopback for the proxy; room made by idle connections, none leaked to gone servers

Seen while writing the stories, not on the bench: a standing probe connection that its server had ended was kept until the next probe (for a server gone for good: for ever); a dial that found no descriptor was held against the server; a client that read slowly had its last bytes cut off after a second. Each has its story.

--- a/onyxhollow/lifecycle/loop.py
+++ b/onyxhollow/lifecycle/loop.py
@@ -40,7 +40,6 @@
         self.runnable: deque[Task] = deque()
         self.due: list[tuple[float, int, Task]] = []
         self.counter, self.running, self.now = 0, True, time.monotonic()
-        self.lag = 0.0  # how late the loop came to its last due time
 
     def spawn(self, steps: Coroutine) -> Task:
         task = Task(self, steps)
@@ -81,33 +80,32 @@
                 continue
             task.armed = math.inf
             if task.until <= self.now:
-                self.lag = self.now - when
                 task.wake()
             elif task.until < math.inf:  # it waits for longer by now
                 task.armed = task.until
                 self.counter += 1
                 heapq.heappush(self.due, (task.until, self.counter, task))
 
+    def turn(self, longest: float = LONGEST_NAP) -> None:
+        nap = longest
+        if self.runnable:
+            nap = 0.0
+        elif self.due:
+            nap = min(longest, max(0.0, self.due[0][0] - time.monotonic()))
+        events = self.epoll.poll(nap)
+        self.now = time.monotonic()
+        for fd, what in events:
+            call = self.watched.get(fd)
+            if call is None:
+                continue  # let go by one served before it
+            try:
+                call(what)
+            except Exception as error:
+                self.failed("descriptor", error)
+        self.fire_due()
+        for _ in range(len(self.runnable)):
+            self.step(self.runnable.popleft())
+
     def run(self) -> None:
         while self.running:
-            nap = LONGEST_NAP
-            if self.runnable:
-                nap = 0.0
-            elif self.due:
-                nap = min(LONGEST_NAP, max(0.0, self.due[0][0] - time.monotonic()))
-            try:
-                events = self.epoll.poll(nap)
-            except InterruptedError:
-                events = []
-            self.now = time.monotonic()
-            for fd, what in events:
-                call = self.watched.get(fd)
-                if call is None:
-                    continue  # let go by one served before it
-                try:
-                    call(what)
-                except Exception as error:
-                    self.failed("descriptor", error)
-            self.fire_due()
-            for _ in range(len(self.runnable)):
-                self.step(self.runnable.popleft())
+            self.turn()
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -44,6 +44,7 @@
         self.stopping = False
         self.listener = listen_socket(config.listen)
         settings = config.settings
+        descriptors = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         for name, address in config.known.addresses.items():
             self.addresses.learn(name, address)
         self.discovery = Discovery(
@@ -63,7 +64,8 @@
         self.facade.report_list(ListKind.CACHED, config.known.entries)
         self.sessions = Sessions(
             self.loop, self.pool, self.counters, self.addresses, self.facade, settings.listeners,
-            settings.customers, settings.load_field, config.connect_time, self.log.event,
+            settings.customers, settings.load_field, config.connect_time, descriptors,
+            self.log.event,
         )  # fmt: skip
         longest = max(row.dial_timeout for row in settings.listeners.values())
         self.stop_span = min(LONGEST_STOP, longest) + STOP_MORE - STOP_MARGIN
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -14,6 +14,7 @@
 
 FULL = 64 * 1024  # bytes waiting to be written past which the other side is not read on
 LINGER = 1.0  # seconds a closed connection is drained, so that its last bytes are not lost to a reset
+SLOW_READER = 10.0  # seconds for the last bytes to go out to one that reads slowly
 ABORT = struct.pack("ii", 1, 0)
 
 
@@ -159,14 +160,13 @@
             self.wake = task.wake
 
     def drain(self) -> Generator[float, None, None]:
-        until = self.loop.now + LINGER
-        shut = False
+        until, shut = self.loop.now + SLOW_READER, False
         try:
             while self.loop.now < until and not self.broken:
                 self.inbox.drop()
                 self.settle(False)
                 if not self.out and not shut:
-                    shut = True
+                    shut, until = True, self.loop.now + LINGER
                     try:
                         self.sock.shutdown(socket.SHUT_WR)
                     except OSError:
--- a/onyxhollow/wire/messages.py
+++ b/onyxhollow/wire/messages.py
@@ -17,7 +17,7 @@
     """An OPEN line, taken apart as far as this proxy uses it."""
 
     line: bytes  # with its line end
-    values: dict[str, str]
+    name: str
     listener: str
     customer: str
     group: str | None
@@ -52,7 +52,7 @@
     hint = values.get("h")
     return Opening(
         line=raw,
-        values=values,
+        name=words[1],
         listener=values["c"],
         customer=values.get("t", ""),
         group=values.get("g"),
--- a/onyxhollow/wire/probes.py
+++ b/onyxhollow/wire/probes.py
@@ -80,8 +80,15 @@
         if address is None or channel.ended:
             channel.close()
             return
-        channel.wake = lambda: None
+        channel.wake = lambda: self.lapse(server, channel)
         self.standing[server] = (address, channel)
         if len(self.standing) > MOST:
             oldest = next(iter(self.standing))
             self.standing.pop(oldest)[1].close()
+
+    def lapse(self, server: str, channel: Channel) -> None:
+        """A standing connection that its server ends is closed then, not at the next probe: a server that is
+        gone for good gets none, and its descriptor would be held for ever."""
+        if channel.ended and self.standing.get(server, (None, None))[1] is channel:
+            del self.standing[server]
+            channel.close()
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -18,6 +18,7 @@
 
 Steps = Generator[float, None, None]
 
+SPARE = 48  # descriptors kept free for dials under way, probes and the server list
 FIRST_LINE = 30.0  # seconds in which a connection says what it wants
 ADOPTED = 39.0  # seconds for a connection that was open before the run to be up again
 ADOPT_AGAIN = 0.25  # seconds between tries for such a one
@@ -32,15 +33,34 @@
 
     def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, addresses: Addresses, facade: Facade,
                  listeners: dict[str, Listener], customers: dict[str, Customer], load_field: str,
-                 connect_time: float, log: Callable[..., None]) -> None:  # fmt: skip
+                 connect_time: float, descriptors: int, log: Callable[..., None]) -> None:  # fmt: skip
         self.loop, self.pool, self.counters, self.addresses = loop, pool, counters, addresses
         self.facade, self.listeners, self.customers = facade, listeners, customers
         self.load_field, self.connect_time, self.log = load_field, connect_time, log
+        self.descriptors = descriptors - SPARE
         self.live: dict[ClientSession, None] = {}
+        self.idle: dict[ClientSession, None] = {}  # nothing asked for yet, the longest first
 
     def accept(self, sock: Any) -> None:
+        self.make_room()
         ClientSession(self, sock)
 
+    def make_room(self) -> bool:
+        """Connections that ask for nothing must not take the place of those that do."""
+        while self.crowded and self.idle:
+            longest = next(iter(self.idle))
+            del self.idle[longest]
+            longest.client.read()
+            longest.wake()
+            if not len(longest.client.inbox):  # else its line has come just now: it is served
+                longest.client.close()
+                self.counters.add("idle connections closed for room")
+        return not self.crowded
+
+    @property
+    def crowded(self) -> bool:
+        return len(self.loop.watched) >= self.descriptors
+
 
 class ClientSession:
     """One client's connection."""
@@ -85,29 +105,34 @@
                 self.answer(False, 0.0)
         finally:
             del self.shared.live[self]
+            self.shared.idle.pop(self, None)
             for channel in (self.client, self.server):
                 if channel is not None and channel.wake == self.wake:
                     channel.close()
             if self.opening is not None:
-                self.shared.log("session", id=str(self.opening.line[5:21], 'ascii'), server=self.name, dials=self.dials,
+                self.shared.log("session", id=self.opening.name, server=self.name, dials=self.dials,
                                 end=self.end)  # fmt: skip
 
     def first_line(self) -> Generator[float, None, memoryview | None]:
         client, until = self.client, self.loop.now + FIRST_LINE
+        idle = self.shared.idle
         while True:
             line = client.line()
             if line is not None:
                 if word(line) != b"PING":
+                    idle.pop(self, None)
                     return line
                 self.counters.add("pings")
                 client.write(b"PONG\r\n")
                 until = self.loop.now + FIRST_LINE
             elif client.ended or self.loop.now >= until or self.stopping:
+                idle.pop(self, None)
                 if half := client.inbox.rest():
                     raise MalformedError(f"half a line of {len(half)} bytes")
                 client.finish()
                 return None
             else:
+                idle[self] = None
                 client.settle(False)
                 yield until
 
@@ -123,6 +148,11 @@
         if opening.at is not None:
             yield from self.adopt(opening, listener, customer)
             return
+        if not shared.make_room():
+            # A dial without a descriptor would fail here and be held against the server.
+            self.counters.add("sessions refused for want of descriptors")
+            self.answer(True, 0.0)
+            return
         took_at = self.loop.now
         handle = self.handle = shared.facade.take(
             self.wake, listener, customer, opening.group, opening.left, opening.load
@@ -150,7 +180,7 @@
                 yield from self.relay(handle)
                 return
             self.counters.add(f"dials {end.value}")
-            self.shared.log("dial", id=str(opening.line[5:21], 'ascii'), server=choice.server, end=end.value,
+            self.shared.log("dial", id=opening.name, server=choice.server, end=end.value,
                             took=round(took, 4), given=round(choice.time, 3),
                             since=round(self.loop.now - took_at, 4))  # fmt: skip
             if self.client.ended:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,11 +1,18 @@
-"""One tiny fake host and the balancer it carries."""
+"""One tiny fake host and the balancer it carries; one proxy on loopback among toys."""
 
+import contextlib
+import os
+import socket
+import time
 from dataclasses import replace
 
 import pytest
 
 from onyxhollow.interface import DialEnd, Entry, Listener, ListKind, Readiness, Settings
+from onyxhollow.lifecycle.config import Config
+from onyxhollow.lifecycle.proxy import Proxy
 from onyxhollow.policy import Balancer
+from onyxhollow.wire.discovery import read_list
 
 CALLS = Listener("calls", handshake_target=0.3, dial_timeout=2.0, message_target=0.1)
 PLAIN = Settings(listeners={"calls": CALLS}, customers={}, watched=False, most_dials=4, cold_share=0.25,
@@ -69,3 +76,122 @@
 @pytest.fixture
 def lost():
     return lambda sess, end=DialEnd.RESET: sess.dial_ended(end, False, 0.1)
+
+
+class Peer:
+    """The far end of one connection, read without waiting."""
+
+    def __init__(self, sock):
+        sock.setblocking(False)
+        self.sock, self.got, self.end = sock, b"", ""
+
+    def say(self, text):
+        self.sock.sendall(text)
+
+    def read(self):
+        try:
+            while not self.end and (more := self.sock.recv(65536)):
+                self.got += more
+            self.end = self.end or "closed"
+        except BlockingIOError:
+            pass
+        except ConnectionResetError:
+            self.end = "reset"
+        return self.got
+
+
+class Toy:
+    """A listening socket: a server, or the server list."""
+
+    def __init__(self):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.port, self.peers = self.sock.getsockname()[1], []
+
+    def accept(self):
+        with contextlib.suppress(BlockingIOError):
+            self.peers.append(Peer(self.sock.accept()[0]))
+            return self.peers[-1]
+
+    def asked(self, count=1):
+        """The newest peer, once it is the so-maniest and has sent something."""
+        self.accept()
+        return len(self.peers) >= count and self.peers[count - 1].read() and self.peers[count - 1]
+
+
+class Loopback:
+    """One proxy on loopback among toys, turned by hand."""
+
+    def __init__(self, servers="a", known=True, sockets=500, **changes):
+        self.toys = {name: Toy() for name in servers}
+        self.list = Toy()
+        rows = [self.row(name) for name in servers] if known else []
+        settings = replace(PLAIN, **{"most_dials": 2, "watched": True, **changes})
+        told = {"seq": 7, "whole": True, "hosts": rows}
+        config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", self.list.port), seed=5, sockets=sockets,
+                        known=read_list(told, 0.0), settings=settings, connect_time=0.25,
+                        probe_time=0.3)  # fmt: skip
+        reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        os.set_blocking(reader, False)
+        self.log_reader, self.proxy = reader, Proxy(config, time.time() - time.monotonic(), writer)
+        self.counts = self.proxy.counters.counts
+
+    def row(self, name, health="active", **more):
+        dial = f"127.0.0.1:{self.toys[name].port}"
+        return {"host": name, "dial": dial, "site": "z", "block": 0, "health": health, "share": 1.0, **more}
+
+    def until(self, seen, within=3.0):
+        end = time.monotonic() + within
+        while not (got := seen()):
+            assert time.monotonic() < end, f"not seen; {dict(self.counts)}"
+            self.proxy.loop.turn(0.005)
+        return got
+
+    def idle(self, span):
+        end = time.monotonic() + span
+        while time.monotonic() < end:
+            self.proxy.loop.turn(0.005)
+
+    def client(self, text=b""):
+        peer = Peer(socket.create_connection(self.proxy.listener.getsockname()))
+        if text:
+            peer.say(text)
+        return peer
+
+    def open(self, listener="calls", wait=2000):
+        return self.client(b"OPEN 9b1f 7f3a c=%s,d=%d\r\n" % (listener.encode(), wait))
+
+    def standing(self, name="a"):
+        """A client and its server with the connection up."""
+        client, count = self.open(), len(self.toys[name].peers) + 1
+        server = self.until(lambda: self.toys[name].asked(count))
+        server.say(b"UP r1\r\n")
+        self.until(lambda: client.read() == b"UP r1\r\n")
+        client.got = server.got = b""
+        return client, server
+
+    def answer_list(self, body, status=b"200 OK", count=1):
+        peer = self.until(lambda: self.list.asked(count))
+        peer.got = b""
+        peer.say(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+        return peer
+
+    def close(self):
+        for fd in list(self.proxy.loop.watched):
+            self.proxy.loop.watch(fd, 0, None)
+        self.proxy.loop.epoll.close()
+        self.proxy.listener.close()
+
+
+@pytest.fixture
+def loopback():
+    made = []
+
+    def make(*values, **changes):
+        made.append(Loopback(*values, **changes))
+        return made[-1]
+
+    yield make
+    for proxy in made:
+        proxy.close()
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,406 @@
+"""What the proxy does on sockets, each story told on loopback with toy peers."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from onyxhollow.__main__ import main
+from onyxhollow.interface import Listener, Repeat
+from onyxhollow.memory.buffers import BufferPool, LineBuffer, LongLineError
+from onyxhollow.memory.counters import Counters
+from onyxhollow.wire import sessions
+
+CALLS = Listener("calls", handshake_target=0.3, dial_timeout=2.0, message_target=0.1)
+ONCE = Listener("once", handshake_target=0.3, dial_timeout=2.0, repeat=Repeat.ONCE_ONLY)
+BOTH = {"calls": CALLS, "once": ONCE}
+LIST = json.dumps({"seq": 8, "whole": False, "hosts": []}).encode()
+
+
+def test_the_opening_line_goes_on_unchanged_but_for_the_wait_left(loopback):
+    proxy = loopback()
+    client = proxy.client(b"OPEN 9b1f 7f3a r=1,c=calls,t=acme,d=2000,g=5c0f,h=0.25,again=1\r\n")
+    server = proxy.until(lambda: proxy.toys["a"].asked())
+    head, _, tail = server.got.partition(b"d=")
+    wait, _, tail = tail.partition(b",")
+    assert head == b"OPEN 9b1f 7f3a r=1,c=calls,t=acme," and tail == b"g=5c0f,h=0.25,again=1\r\n"
+    assert 250 <= int(wait) <= 300  # the wait that this dial was given, not the client's
+    assert client.read() == b""  # UP comes only from the server
+
+
+def test_from_up_on_all_lines_pass_both_ways_unchanged_and_load_is_read_on_the_way(loopback):
+    proxy = loopback()
+    client, server = proxy.standing()
+    client.say(b"m 1 \x00\xff\r\nm 2\r\n")
+    proxy.until(lambda: server.read() == b"m 1 \x00\xff\r\nm 2\r\n")
+    server.say(b"LOAD 12.5\r\nm 1 \x00\xff\r\nm 2\r")
+    proxy.idle(0.05)
+    assert client.read() == b"LOAD 12.5\r\nm 1 \x00\xff\r\n"  # the half line waits for its end
+    server.say(b"\n")
+    proxy.until(lambda: client.read().endswith(b"m 2\r\n"))
+    (live,) = proxy.proxy.sessions.live
+    assert live.handle.sess.load == 12.5 and live.handle.sess.server.delay.value < 0.1
+
+
+@pytest.mark.parametrize("said, outcome", [
+    (b"BUSY x0=0.9\r\n", "full"), (b"ERR\r\n", "error"), (b"", "reset"), (b"WHAT\r\n", "unknown"),
+])  # fmt: skip
+def test_a_dial_that_fails_is_followed_by_another_and_the_last_by_an_answer(loopback, said, outcome):
+    proxy = loopback("ab", load_field="x0")
+    client = proxy.open()
+    first = proxy.until(lambda: proxy.toys["a"].asked() or proxy.toys["b"].asked())
+    first.say(said)
+    first.sock.close()
+    rest = [toy for toy in proxy.toys.values() if first not in toy.peers]
+    second = proxy.until(lambda: rest[0].asked())
+    second.say(said)
+    second.sock.close()
+    proxy.until(lambda: client.read() and client.end)
+    assert client.got == b"BUSY\r\n" and proxy.counts[f"dials {outcome}"] == 2
+
+
+def test_a_once_only_session_that_may_have_run_is_torn_down_and_one_turned_away_is_dialled_again(loopback):
+    for said, answer in ((b"ERR\r\n", b"ERR\r\n"), (b"BUSY\r\n", b"BUSY\r\n")):
+        proxy = loopback("ab", listeners=BOTH)
+        client, count = proxy.open("once"), 0
+        while not client.read():
+            proxy.idle(0.01)
+            for toy in proxy.toys.values():
+                if (server := toy.accept()) is not None:
+                    count += 1
+                    server.say(said)
+        assert client.got == answer and count == (1 if said == b"ERR\r\n" else 2)
+
+
+def test_a_server_that_refuses_or_never_comes_up_could_not_be_connected_to(loopback):
+    proxy = loopback("a")
+    proxy.toys["a"].sock.close()
+    client = proxy.open("calls")
+    proxy.until(lambda: client.read())
+    assert client.got == b"BUSY\r\n" and proxy.counts["dials connect failed"] == 2
+
+
+def test_the_connection_of_a_timed_out_dial_is_closed_before_the_next_dial(loopback):
+    proxy = loopback("ab")
+    client = proxy.open()
+    first = proxy.until(lambda: proxy.toys["a"].asked() or proxy.toys["b"].asked())
+    rest = [toy for toy in proxy.toys.values() if first not in toy.peers]
+    proxy.until(lambda: rest[0].asked())
+    assert first.read() and first.end == "closed" and proxy.counts["dials timeout"] == 1 and not client.read()
+
+
+def test_a_client_that_leaves_before_an_answer_has_its_dial_called_back(loopback):
+    proxy = loopback(cancelling=True)
+    client = proxy.open()
+    server = proxy.until(lambda: proxy.toys["a"].asked())
+    client.sock.close()
+    proxy.until(lambda: server.read() and server.end)
+    proxy.until(lambda: not proxy.proxy.sessions.live)
+    assert proxy.counts["clients gone before an answer"] == 1 and proxy.counts["dials"] == 1
+
+
+def test_a_move_stands_between_two_lines_even_when_the_clients_buffer_is_part_written(loopback):
+    proxy = loopback()
+    client, server = proxy.standing()
+    (live,) = proxy.proxy.sessions.live
+    live.client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    line = b"m" + b"x" * 4000 + b"\r\n"
+    server.sock.setblocking(True)
+    server.sock.settimeout(0.01)
+    for _ in range(4000):
+        try:
+            server.sock.sendall(line)
+        except TimeoutError:
+            proxy.idle(0.01)
+            if live.client.full:
+                break
+    assert live.client.out and len(live.client.out) < 100_000  # bounded: the server is not read on
+    live.handle.sess.balancer.host.move(live.handle)
+    proxy.until(lambda: not proxy.proxy.sessions.live)
+    proxy.until(lambda: client.read().endswith(b"MOVE\r\n") and client.end == "closed")
+    assert set(client.got.split(b"\r\n")) == {line[:-2], b"MOVE", b""}
+    proxy.until(lambda: server.read() is not None and server.end)
+
+
+def test_a_client_moved_in_the_middle_of_its_talk_still_gets_the_word(loopback):
+    # Closed with its lines unread, the connection would be reset and MOVE lost on the way.
+    proxy = loopback()
+    client, server = proxy.standing()
+    (live,) = proxy.proxy.sessions.live
+    live.handle.facade.move(live.handle)
+    client.say(b"m 1\r\n" * 50)
+    proxy.until(lambda: client.read() == b"MOVE\r\n" and client.end == "closed")
+
+
+def test_an_ended_side_ends_the_other_the_same_way_after_its_last_bytes(loopback):
+    proxy = loopback()
+    client, server = proxy.standing()
+    server.say(b"m 1\r\nBYE\r\n")
+    server.sock.close()
+    proxy.until(lambda: client.read() and client.end)
+    assert (client.got, client.end) == (b"m 1\r\nBYE\r\n", "closed") and proxy.counts["connections ok"] == 1
+    client, server = proxy.standing()
+    server.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    server.sock.close()
+    proxy.until(lambda: client.read() is not None and client.end)
+    assert client.end == "reset" and proxy.counts["connections reset"] == 1
+
+
+def test_a_client_that_leaves_has_its_last_line_delivered_and_its_servers_side_ended(loopback):
+    proxy = loopback()
+    client, server = proxy.standing()
+    client.say(b"m 2\r\n")
+    client.sock.close()
+    proxy.until(lambda: server.read() == b"m 2\r\n" and server.end == "closed")
+    proxy.until(lambda: not proxy.proxy.sessions.live)
+
+
+def test_a_server_gone_silent_is_found_by_its_missing_echoes(loopback, monkeypatch):
+    monkeypatch.setattr(sessions, "SILENT", 0.8)
+    proxy = loopback()
+    client, server = proxy.standing()
+    proxy.idle(1.0)
+    assert not client.read()  # nothing sent, nothing owed
+    client.say(b"m 1\r\n")
+    proxy.until(lambda: client.read() == b"MOVE\r\n" and client.end == "closed")
+    assert proxy.counts["clients silent server"] == 1
+
+
+def test_a_connection_from_before_the_start_is_tried_until_its_server_is_up(loopback):
+    proxy = loopback()
+    port = proxy.toys["a"].port
+    proxy.toys["a"].sock.close()
+    client = proxy.client(b"OPEN 9b1f 7f3a c=calls,d=2000,at=a\r\n")
+    proxy.idle(0.4)
+    toy = proxy.toys["a"]
+    toy.sock = socket.create_server(("127.0.0.1", port))
+    toy.sock.setblocking(False)
+    server = proxy.until(lambda: toy.asked())
+    assert server.got == b"OPEN 9b1f 7f3a c=calls,d=2000,at=a\r\n"
+    server.say(b"UP r9\r\n")
+    proxy.until(lambda: client.read() == b"UP r9\r\n")
+    assert len(proxy.proxy.facade.balancer.servers["a"].connections) == 1
+
+
+@pytest.mark.parametrize("said", [
+    b"HELLO\r\n", b"OPEN 1 2 c=calls,d=x\r\n", b"OPEN 1 2 c=nobody,d=9\r\n", b"OPEN 1 2 c=calls\r\n",
+    b"x" * 5000, b"OPEN 1 2 c=calls,c=calls,d=9\r\n", b"OPEN \xff 2 c=calls,d=9\r\n",
+])  # fmt: skip
+def test_a_malformed_or_overlong_line_ends_its_connection_and_no_other(loopback, said):
+    proxy = loopback()
+    client, bad = proxy.standing()[0], proxy.client(said)
+    proxy.until(lambda: bad.read() is not None and bad.end)
+    assert proxy.counts["malformed lines"] == 1 and not client.read() and not client.end
+    assert len(proxy.proxy.sessions.live) == 1 and not proxy.counts["failures"]
+
+
+def test_a_half_line_and_an_overlong_one_on_an_open_connection_end_it(loopback):
+    proxy = loopback()
+    client = proxy.client(b"OPEN 1 2 c=ca")
+    proxy.idle(0.03)
+    client.sock.close()
+    proxy.until(lambda: proxy.counts["malformed lines"] == 1)
+    client, server = proxy.standing()
+    client.say(b"x" * 5000)
+    proxy.until(lambda: client.read() is not None and client.end)
+    proxy.until(lambda: server.read() is not None and server.end)
+    assert proxy.counts["malformed lines"] == 2 and not proxy.counts["failures"]
+
+
+def test_a_failure_of_the_module_is_one_sessions_and_that_one_is_answered(loopback, monkeypatch):
+    def broken(*_):
+        raise KeyError("lost my way")
+
+    proxy = loopback()
+    client, _ = proxy.standing()
+    monkeypatch.setattr("onyxhollow.policy.Balancer.take", broken)
+    bad = proxy.open()
+    proxy.until(lambda: bad.read() and bad.end)
+    assert bad.got == b"ERR\r\n" and proxy.counts["failures"] == 1 and not client.read() and not client.end
+
+
+def test_the_front_is_answered_and_idle_connections_make_room_for_sessions(loopback):
+    proxy = loopback(sockets=sessions.SPARE + 8)
+    idle = []
+    for _ in range(12):
+        idle.append(proxy.client(b"PING\r\n"))
+        proxy.until(lambda: idle[-1].read() == b"PONG\r\n")
+    assert idle[0].read() == b"PONG\r\n" and idle[0].end and not idle[-1].end
+    client, _ = proxy.standing()
+    assert proxy.counts["idle connections closed for room"] >= 5 and not client.end
+
+
+def test_without_descriptors_to_spare_a_session_is_refused_and_no_server_blamed(loopback):
+    proxy = loopback(sockets=sessions.SPARE + 1)
+    client = proxy.open()
+    proxy.until(lambda: client.read() == b"BUSY\r\n")
+    assert not proxy.counts["dials"] and proxy.proxy.facade.balancer.servers["a"].distrust == 0.0
+
+
+def test_no_descriptor_at_all_does_not_spin_and_accepting_goes_on_later(loopback, monkeypatch):
+    proxy = loopback()
+    held, turns = [], 0
+    import resource
+
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    peer = proxy.client(b"PING\r\n")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(os.dup(0) + 1, 64), hard))
+    try:
+        with pytest.raises(OSError):
+            while True:
+                held.append(os.dup(0))
+        end = time.monotonic() + 0.3
+        while time.monotonic() < end:
+            proxy.proxy.loop.turn(0.05)
+            turns += 1
+        assert turns < 60 and 1 <= proxy.counts["accepts without a descriptor"] <= 8
+    finally:
+        for fd in held:
+            os.close(fd)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    proxy.until(lambda: peer.read() == b"PONG\r\n")
+
+
+def test_the_watch_goes_on_at_once_after_each_answer(loopback):
+    proxy = loopback()
+    proxy.answer_list(LIST)
+    peer = proxy.until(lambda: proxy.list.asked())
+    began = time.monotonic()
+    assert peer.got.startswith(b"GET /v1/endpoints?index=8&wait=5000 HTTP/1.1\r\n")
+    row = proxy.row("a", "leaving")
+    proxy.answer_list(json.dumps({"seq": 9, "whole": False, "hosts": [row]}).encode())
+    proxy.until(lambda: proxy.list.peers[0].read().startswith(b"GET /v1/endpoints?index=9"))
+    assert time.monotonic() - began < 0.2
+    client = proxy.open()
+    proxy.until(lambda: client.read() == b"BUSY\r\n")  # nothing new to a server told draining
+    assert not proxy.counts["dials"]
+
+
+@pytest.mark.parametrize("said", [
+    b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"", b"HTTP/1.1 200 OK\r\nConte", b"rubbish\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+])  # fmt: skip
+def test_a_call_for_the_list_that_fails_is_followed_by_another(loopback, said):
+    proxy = loopback()
+    first = proxy.until(lambda: proxy.list.asked())
+    first.say(said)
+    first.sock.close()
+    proxy.until(lambda: proxy.counts["list failures"] == 1)
+    proxy.answer_list(LIST, count=2)
+    proxy.until(lambda: proxy.list.peers[1].read().startswith(b"GET /v1/endpoints?index=8&wait=5000"))
+    client, _ = proxy.standing()  # the cached list serves meanwhile
+    assert not client.end and not proxy.counts["failures"]
+
+
+def test_a_list_that_says_nothing_is_given_up_in_time(loopback, monkeypatch):
+    monkeypatch.setattr("onyxhollow.wire.discovery.ANSWER", 0.2)
+    proxy = loopback()
+    proxy.until(lambda: proxy.list.asked())
+    proxy.until(lambda: proxy.counts["list failures"] == 1)
+    proxy.until(lambda: proxy.list.asked(2))
+
+
+def test_a_probe_brings_the_load_and_its_connection_goes_with_its_server(loopback):
+    proxy = loopback(probes=True, probe_price=0.01, load_field="x0")
+    server = proxy.until(lambda: proxy.toys["a"].asked())
+    assert server.got == b"STATS\r\n"
+    server.say(b"PONG qps=3,x0=0.5\r\n")
+    balancer = proxy.proxy.facade.balancer
+    proxy.until(lambda: balancer.servers["a"].load == 0.5)
+    assert list(proxy.proxy.probes.standing) == ["a"]
+    server.sock.close()
+    proxy.until(lambda: not proxy.proxy.probes.standing)
+
+
+def test_a_stop_moves_the_open_ones_answers_the_waiting_and_serves_late_comers(loopback):
+    proxy = loopback()
+    (first, _), (second, _) = proxy.standing(), proxy.standing()
+    proxy.proxy.stop_span = 0.9
+    proxy.proxy.loop.spawn(proxy.proxy.stop())
+    late = proxy.open()
+    server = proxy.until(lambda: proxy.toys["a"].asked(3))
+    server.say(b"UP r3\r\n")
+    waiting = proxy.open(wait=5000)
+    proxy.until(lambda: not proxy.proxy.loop.running, within=3)
+    assert [peer.read() for peer in (first, second, late)] == [b"MOVE\r\n", b"MOVE\r\n", b"UP r3\r\nMOVE\r\n"]
+    assert waiting.read() == b"BUSY\r\n" and not proxy.proxy.sessions.live
+
+
+def test_the_program_stops_on_sigterm_with_its_counters_and_without_an_error(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    settings = {"listeners": [{"name": "calls", "semantics": "read_like", "handshakeTargetNs": 300000000,
+                               "dialTimeoutNs": 600000000}], "rules": {}}  # fmt: skip
+    told = {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "seed": "8c1f", "settings": settings}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    program = subprocess.Popen([sys.executable, "-O", "-m", "onyxhollow", "serve", "--config", str(path)],
+                               stdout=subprocess.PIPE, stderr=subprocess.PIPE)  # fmt: skip
+    try:
+        assert json.loads(program.stdout.readline())["event"] == "start"
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(b"PING\r\n")
+            assert client.recv(100) == b"PONG\r\n"
+        program.send_signal(signal.SIGUSR1)
+        while (line := json.loads(program.stdout.readline()))["event"] != "counters":
+            pass
+        assert line["pings"] == 1
+        program.send_signal(signal.SIGTERM)
+        out, errors = program.communicate(timeout=5)
+    finally:
+        program.kill()
+    assert program.returncode == 0 and errors == b""
+    assert json.loads(out.splitlines()[-1])["event"] == "counters"
+
+
+@pytest.mark.parametrize("text, said", [
+    ("{", "not JSON"), ("[]", "not an object"), ("{}", "missing setting settings"), (None, "No such file"),
+])  # fmt: skip
+def test_a_bad_configuration_is_one_line_on_standard_error_and_exit_2(tmp_path, capsys, text, said):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    assert main(["serve", "--config", str(path)]) == 2
+    errors = capsys.readouterr().err
+    assert said in errors and errors.count("\n") == 1
+
+
+def test_lines_are_slices_of_the_read_buffer_also_when_their_end_comes_in_two_parts():
+    pool = BufferPool()
+    box = LineBuffer(pool)
+
+    def read(data):
+        box.space()[: len(data)] = data
+        box.filled(len(data))
+
+    read(b"one\r\ntwo\r")
+    line = box.line()
+    assert line == b"one\r\n" and line.obj is box.data and box.line() is None
+    read(b"\nthree")
+    assert box.line() == b"two\r\n" and box.line() is None
+    box.release()
+    assert box.data is not None  # half a line is still in it
+    read(b"\r\n")
+    assert box.line() == b"three\r\n"
+    box.release()
+    assert box.data is None and len(pool.spare) == 1
+    read(b"x" * 4095)
+    assert box.line() is None
+    read(b"xx")
+    with pytest.raises(LongLineError):
+        box.line()
+
+
+def test_what_must_hold_is_asserted_in_debug_builds():
+    counters = Counters()
+    counters.must(True, "all is well")
+    with pytest.raises(AssertionError, match="one answer"):
+        counters.must(False, "one answer")
+    said = "from onyxhollow.memory.counters import Counters as C; c = C(); c.must(0, 'x'); print(c.counts)"
+    told = subprocess.run([sys.executable, "-O", "-c", said], capture_output=True, text=True, check=True)
+    assert told.stdout == "Counter({'broken: x': 1})\n"
