--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -33,7 +33,7 @@
         self.sess: Session | None = None
         self.chosen: Pick | None = None
         self.call_back = self.move = False  # the dial out is to be given up; the client is to be moved
-        self.dialling = self.answered = False
+        self.dialling = self.answered = self.ended = False
 
     def choose(self, chosen: Pick) -> None:
         must = self.facade.counters.must
@@ -56,7 +56,7 @@
     def report(self, end: DialEnd, took: float, final: bool = False, load: float | None = None) -> None:
         """How a dial, or the connection that came of it, has ended."""
         self.dialling = self.call_back = False
-        self.answered = self.answered or final
+        self.answered, self.ended = self.answered or final, final
         if self.sess:
             self.sess.dial_ended(end, final, took, load)
 
@@ -79,6 +79,12 @@
         if self.sess:
             self.sess.client_gone()
 
+    def forget(self) -> None:
+        """However its connection ended: the module must not count it among the open ones for ever."""
+        if not self.ended:
+            self.report_gone()
+            self.report(DialEnd.CANCELLED, 0.0, True)
+
     def give_up(self) -> Pick:
         """At the end of the stop: the final answer now, by the module's own rule on what may have run."""
         sess, dialled = self.sess, self.dialling
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -32,7 +32,8 @@
 LONGEST_STOP = 3.0  # seconds from SIGTERM to SIGKILL, as far as the longest dial timeout counts ...
 STOP_MORE = 0.7  # ... and these more
 STILL_COMING = 0.5  # seconds for which connections go on coming after SIGTERM
-STOP_MARGIN = 0.9  # seconds before SIGKILL by which all clients have been told to move
+STOP_STEP = 0.05  # seconds from one group of moved clients to the next
+STOP_MARGIN = 0.6  # seconds before SIGKILL by which all clients have been told to move
 
 
 class Proxy:
@@ -155,20 +156,20 @@
         self.log.event("counters", **self.counters.snapshot(), **gauges)
 
     def stop(self) -> Generator[float, None, None]:
-        """Goes on taking and serving sessions while they come. Open ones are moved one after another over
-        the time there is: all at once they would be a mass reconnect for the others."""
+        """Goes on taking and serving sessions while they come; those moved before would come back here. Then
+        open ones are moved one after another over the time there is: all at once they would be a mass
+        reconnect for the others."""
         began, last = self.loop.now, self.loop.now + self.stop_span
         self.log.event("stop", live=len(self.sessions.live), within=round(self.stop_span, 2))
         while self.sessions.live and self.loop.now < last:
             now = self.loop.now
             if now >= began + STILL_COMING:
                 self.stop_listening()
-            open_ones = [sess for sess in self.sessions.live if sess.open and not sess.stopping]
-            step = 0.05
-            share = step / max(step, last - 0.5 - now)
-            for sess in open_ones[: math.ceil(len(open_ones) * share)]:
-                sess.stop()
-            until = now + step
+                open_ones = [sess for sess in self.sessions.live if sess.open and not sess.stopping]
+                share = STOP_STEP / max(STOP_STEP, last - STOP_MARGIN / 2 - now)
+                for sess in open_ones[: math.ceil(len(open_ones) * share)]:
+                    sess.stop()
+            until = now + STOP_STEP
             while self.loop.now < until:
                 yield until
         while self.loop.now < began + STILL_COMING:
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -12,8 +12,8 @@
 from onyxhollow.memory.buffers import BufferPool, LineBuffer
 from onyxhollow.memory.tables import Address
 
-FULL = 64 * 1024  # bytes waiting to be written past which the other side is not read on
-LINGER = 1.0  # seconds a closed connection is drained, so that its last bytes are not lost to a reset
+FULL = 32 * 1024  # bytes waiting to be written past which the other side is not read on
+LINGER = 0.5  # seconds a closed connection is drained, so that its last bytes are not lost to a reset
 SLOW_READER = 10.0  # seconds for the last bytes to go out to one that reads slowly
 ABORT = struct.pack("ii", 1, 0)
 
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -20,6 +20,8 @@
 
 SPARE = 48  # descriptors kept free for dials under way, probes and the server list
 FIRST_LINE = 30.0  # seconds in which a connection says what it wants
+HALF_LINE = 10.0  # seconds for a line that has begun to end
+HURRY = 0.03  # seconds of the client's wait, a tenth at most, kept for the answer's own way and a busy core
 ADOPTED = 39.0  # seconds for a connection that was open before the run to be up again
 ADOPT_AGAIN = 0.25  # seconds between tries for such a one
 SILENT = 5.0  # seconds without an echo after which a server counts as gone
@@ -75,6 +77,9 @@
         self.opening: Opening | None = None
         self.stopping = self.open = False  # open: UP has been passed on
         self.dials, self.name, self.end = 0, "", ""
+        self.out = deque[float]()  # when lines went to the server that it has not brought back
+        self.heard = self.told_late = self.slowest = 0.0
+        self.echoes, self.last = 0, b""
         shared.live[self] = None
         self.task: Task = self.loop.spawn(self.run())
 
@@ -91,12 +96,8 @@
                 self.opening = read_opening(line)
                 yield from self.serve(self.opening)
         except (MalformedError, LongLineError) as error:
-            self.counters.add("malformed lines")
-            self.shared.log("malformed", why=str(error) or "line over 4 KiB", open=self.open)
-            if self.server is not None:
-                self.server.close()
-            if self.handle is None and not self.client.ended:
-                self.client.write(b"ERR\r\n")
+            self.malformed(str(error) or "line over 4 KiB")
+            self.client.write(b"ERR\r\n")
             self.client.finish()
         except Exception as error:
             # The module or this code failed: the session is still owed an answer, and the proxy goes on.
@@ -104,6 +105,8 @@
             if not self.open and not self.client.closed:
                 self.answer(False, 0.0)
         finally:
+            if self.handle is not None:
+                self.handle.forget()
             del self.shared.live[self]
             self.shared.idle.pop(self, None)
             for channel in (self.client, self.server):
@@ -111,11 +114,15 @@
                     channel.close()
             if self.opening is not None:
                 self.shared.log("session", id=self.opening.name, server=self.name, dials=self.dials,
-                                end=self.end)  # fmt: skip
+                                end=self.end, echoes=self.echoes, slowest=round(self.slowest, 4))  # fmt: skip
+
+    def malformed(self, why: str) -> None:
+        self.counters.add("malformed lines")
+        self.shared.log("malformed", why=why, open=self.open)
 
     def first_line(self) -> Generator[float, None, memoryview | None]:
         client, until = self.client, self.loop.now + FIRST_LINE
-        idle = self.shared.idle
+        idle, half_by = self.shared.idle, 0.0
         while True:
             line = client.line()
             if line is not None:
@@ -124,7 +131,7 @@
                     return line
                 self.counters.add("pings")
                 client.write(b"PONG\r\n")
-                until = self.loop.now + FIRST_LINE
+                until, half_by = self.loop.now + FIRST_LINE, 0.0
             elif client.ended or self.loop.now >= until or self.stopping:
                 idle.pop(self, None)
                 if half := client.inbox.rest():
@@ -134,6 +141,8 @@
             else:
                 idle[self] = None
                 client.settle(False)
+                if len(client.inbox) and not half_by:
+                    half_by = until = min(until, self.loop.now + HALF_LINE)
                 yield until
 
     # before UP
@@ -154,8 +163,9 @@
             self.answer(True, 0.0)
             return
         took_at = self.loop.now
+        left = opening.left - min(HURRY, opening.left / 10)
         handle = self.handle = shared.facade.take(
-            self.wake, listener, customer, opening.group, opening.left, opening.load
+            self.wake, listener, customer, opening.group, left, opening.load
         )
         while True:
             choice = yield from handle.pick(self.gone)
@@ -258,6 +268,9 @@
                 if self.loop.now >= self.stop_by:
                     return DialEnd.TIMEOUT, None
                 yield until
+        except LongLineError:
+            self.malformed("line over 4 KiB from a server")
+            return DialEnd.UNKNOWN, None
         finally:
             if not self.open:
                 server.close()
@@ -289,58 +302,76 @@
         """Passes lines both ways until one side ends, or the client is to be moved."""
         client, server, started = self.client, self.server, self.loop.now
         assert server is not None
-        echoes: deque[float] = deque()  # when lines went to the server that it has not brought back
-        heard, told, last = started, started, b""
+        self.heard = self.told_late = started
         while True:
+            if not self.pass_to_client(handle, server):
+                self.move(handle, "of a malformed server", DialEnd.ERROR, started)
+            elif not self.pass_to_server(server):
+                self.move(handle, "malformed", DialEnd.CANCELLED, started)
+            elif server.ended:
+                self.finish_with(handle, AFTER_ANSWER.get(self.last, DialEnd.RESET), started)
+            elif client.ended:
+                self.client_left(handle, started)
+            elif handle.move or self.stopping:
+                self.move(handle, "moved" if handle.move else "moved at stop", DialEnd.CANCELLED, started)
+            elif (look_at := self.look_at_echoes(handle)) <= self.loop.now:
+                # A machine that vanished says nothing, and keep-alive does not notice.
+                self.move(handle, "silent server", DialEnd.RESET, started)
+            else:
+                client.settle(server.full)
+                server.settle(client.full)
+                yield look_at
+                continue
+            return
+
+    def pass_to_client(self, handle: Handle, server: Channel) -> bool:
+        """False if the server has sent what is no line."""
+        try:
             while (line := server.line()) is not None:
-                heard, first = self.loop.now, word(line)
-                if first == b"LOAD":
+                if (first := word(line)) == b"LOAD":
                     self.read_load(handle, line)
                 elif first in AFTER_ANSWER:
-                    last = first
-                elif echoes:
-                    handle.report_delay(self.loop.now - echoes.popleft())
-                client.write(line)
-            if server.ended and (half := server.inbox.rest()):
-                self.counters.add("half lines")
-                client.write(half)
-            while not server.full and (line := client.line()) is not None:
-                echoes.append(self.loop.now)
+                    self.last = first
+                elif self.out:
+                    self.heard, delay = self.loop.now, self.loop.now - self.out.popleft()
+                    self.echoes, self.slowest = self.echoes + 1, max(self.slowest, delay)
+                    handle.report_delay(delay)
+                self.client.write(line)
+        except LongLineError:
+            self.malformed("line over 4 KiB from a server")
+            return False
+        if server.ended and (half := server.inbox.rest()):
+            self.malformed(f"half a line of {len(half)} bytes from a server")
+            self.client.write(half)
+        return True
+
+    def pass_to_server(self, server: Channel) -> bool:
+        """False if the client has sent what is no line."""
+        try:
+            while not server.full and (line := self.client.line()) is not None:
+                self.out.append(self.loop.now)
                 server.write(line)
-            if server.ended:
-                self.finish_with(handle, AFTER_ANSWER.get(last, DialEnd.RESET), started)
-                return
-            if client.ended:
-                self.client_left(handle, started)
-                return
-            now = self.loop.now
-            if handle.move or self.stopping:
-                self.move(handle, "moved" if handle.move else "moved at stop", DialEnd.CANCELLED, started)
-                return
-            until = math.inf
-            if echoes:
-                age = now - max(echoes[0], heard)
-                if age >= SILENT:
-                    # A machine that vanished says nothing, and keep-alive does not notice.
-                    self.move(handle, "silent server", DialEnd.RESET, started)
-                    return
-                until = now + SILENT - age
-                if now - echoes[0] >= LATE_AGAIN:
-                    if now - told >= LATE_AGAIN:
-                        told = now
-                        handle.report_delay(now - echoes[0])
-                    until = min(until, told + LATE_AGAIN)
-                else:
-                    until = min(until, echoes[0] + LATE_AGAIN)
-            client.settle(server.full)
-            server.settle(client.full)
-            yield until
+        except LongLineError:
+            self.malformed("line over 4 KiB")
+            return False
+        return True
+
+    def look_at_echoes(self, handle: Handle) -> float:
+        """When to look again; now, if the server has been silent for too long."""
+        if not self.out:
+            return math.inf
+        now, oldest = self.loop.now, self.out[0]
+        if now - oldest >= LATE_AGAIN and now - self.told_late >= LATE_AGAIN:
+            self.told_late = now
+            handle.report_delay(now - oldest)
+        silent_at = max(oldest, self.heard) + SILENT
+        return min(silent_at, max(oldest, self.told_late) + LATE_AGAIN) if now < silent_at else now
 
     def read_load(self, handle: Handle, line: memoryview) -> None:
         try:
             handle.report_load(float(rest(line)))
         except ValueError:
-            self.counters.add("malformed lines")
+            self.malformed("LOAD without a figure")
 
     def move(self, handle: Handle, why: str, end: DialEnd, started: float) -> None:
         """MOVE goes between two lines: only whole lines are ever put into the client's buffer."""
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -49,6 +49,7 @@
 
 @pytest.mark.parametrize("said, outcome", [
     (b"BUSY x0=0.9\r\n", "full"), (b"ERR\r\n", "error"), (b"", "reset"), (b"WHAT\r\n", "unknown"),
+    (b"x" * 5000, "unknown"),
 ])  # fmt: skip
 def test_a_dial_that_fails_is_followed_by_another_and_the_last_by_an_answer(loopback, said, outcome):
     proxy = loopback("ab", load_field="x0")
@@ -210,6 +211,27 @@
     proxy.until(lambda: client.read() is not None and client.end)
     proxy.until(lambda: server.read() is not None and server.end)
     assert proxy.counts["malformed lines"] == 2 and not proxy.counts["failures"]
+    assert not proxy.proxy.facade.balancer.servers["a"].connections
+
+
+def test_a_client_whose_server_sends_what_is_no_line_is_moved(loopback):
+    # Its server still answers: cut off without a word, the connection would count as lost.
+    proxy = loopback()
+    client, server = proxy.standing()
+    server.say(b"x" * 5000)
+    proxy.until(lambda: client.read() == b"MOVE\r\n" and client.end == "closed")
+    assert not proxy.proxy.facade.balancer.servers["a"].connections
+
+
+def test_a_session_that_came_with_half_its_line_is_not_cut_off_to_make_room(loopback):
+    proxy = loopback(sockets=sessions.SPARE + 6)
+    half = proxy.client(b"OPEN 1 2 c=calls,")
+    proxy.idle(0.02)
+    others = [proxy.client() for _ in range(6)]
+    proxy.idle(0.05)
+    half.say(b"d=2000\r\n")
+    proxy.until(lambda: proxy.toys["a"].asked())
+    assert any(peer.read() is not None and peer.end for peer in others)
 
 
 def test_a_failure_of_the_module_is_one_sessions_and_that_one_is_answered(loopback, monkeypatch):
