Late echoes told once a second a server; echoes of the way alone are not told

Told of each echo, the module took 0.2 ms of way and loop for its latency, and hand-offs were paced by that noise instead of set-up times; a pause told by every connection would be dozens of faults. Checked: no server sends delays in another form (only LOAD and echoes came). Lines at fault: sessions.py, relay. Silence of 3 s instead of 5 counts as the end: such a connection earns nothing meanwhile.

--- a/onyxhollow/lifecycle/loop.py
+++ b/onyxhollow/lifecycle/loop.py
@@ -15,6 +15,7 @@
 
 Coroutine = Generator[float, None, None]
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+STALL = 0.005  # seconds late that a due time may come on a core that others use
 LONGEST_NAP = 1.0  # seconds: a lost wake-up costs no more than this
 
 
@@ -40,6 +41,7 @@
         self.runnable: deque[Task] = deque()
         self.due: list[tuple[float, int, Task]] = []
         self.counter, self.running, self.now = 0, True, time.monotonic()
+        self.stalled = 0.0  # seconds for which this process stood still, by how late its timers came
 
     def spawn(self, steps: Coroutine) -> Task:
         task = Task(self, steps)
@@ -74,6 +76,8 @@
             heapq.heappush(self.due, (task.until, self.counter, task))
 
     def fire_due(self) -> None:
+        if self.due and (late := self.now - self.due[0][0]) > STALL:
+            self.stalled += late
         while self.due and self.due[0][0] <= self.now:
             when, _, task = heapq.heappop(self.due)
             if task.done or when != task.armed:
--- a/onyxhollow/wire/messages.py
+++ b/onyxhollow/wire/messages.py
@@ -57,7 +57,7 @@
         customer=values.get("t", ""),
         group=values.get("g"),
         left=figure(values["d"], "d") / 1000 if "d" in values else math.inf,
-        load=figure(hint, "h") if hint else None,
+        load=figure(hint, "h") / 1e6 if hint else None,
         at=values.get("at"),
     )
 
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -5,6 +5,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Generator
+from dataclasses import dataclass
 from typing import Any
 
 from onyxhollow.facade import Facade, Handle
@@ -24,12 +25,22 @@
 HURRY = 0.03  # seconds of the client's wait, a tenth at most, kept for the answer's own way and a busy core
 ADOPTED = 39.0  # seconds for a connection that was open before the run to be up again
 ADOPT_AGAIN = 0.25  # seconds between tries for such a one
-SILENT = 5.0  # seconds without an echo after which a server counts as gone
-LATE_AGAIN = 0.5  # seconds from word to word of an echo that is still out
+SILENT = 3.0  # seconds without an echo after which a server counts as gone
+MISSING = 0.5  # seconds after which an echo still out is told as late
+LONG = 0.01  # seconds; echoes that come sooner say how busy this core is, nothing of the server
+LATE_AGAIN = 1.0  # seconds from word to word of late echoes at one server
 AFTER_ANSWER = {b"BYE": DialEnd.OK, b"MOVE": DialEnd.CANCELLED, b"ERR": DialEnd.ERROR}
 BEFORE_ANSWER = {b"BUSY": DialEnd.FULL, b"ERR": DialEnd.ERROR, b"BYE": DialEnd.OK, b"MOVE": DialEnd.CANCELLED}
 
 
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """When a line went out, and for how long the process had stood still by then."""
+
+    at: float
+    stalled: float
+
+
 class Sessions:
     """Makes sessions of accepted connections; holds what they share."""
 
@@ -42,11 +53,22 @@
         self.descriptors = descriptors - SPARE
         self.live: dict[ClientSession, None] = {}
         self.idle: dict[ClientSession, None] = {}  # nothing asked for yet, the longest first
+        self.late_told: dict[str, float] = {}  # when late echoes were last told of, by server
 
     def accept(self, sock: Any) -> None:
         self.make_room()
         ClientSession(self, sock)
 
+    def echo_took(self, handle: Handle, server: str, sent: Moment, now: float) -> None:
+        """Tells the module of a late echo, once a second for each server. Told of all, at each connection, a
+        short pause would look like dozens of faults, and echoes of 0.2 ms would drown the set-up times that
+        hand-offs are paced by. Time for which this process itself stood still is not the server's."""
+        stalled = self.loop.stalled - sent.stalled
+        delay = now - sent.at - stalled
+        if delay >= max(LONG, stalled) and now - self.late_told.get(server, -math.inf) >= LATE_AGAIN:
+            self.late_told[server] = now
+            handle.report_delay(delay)
+
     def make_room(self) -> bool:
         """Connections that ask for nothing must not take the place of those that do."""
         while self.crowded and self.idle:
@@ -77,8 +99,8 @@
         self.opening: Opening | None = None
         self.stopping = self.open = False  # open: UP has been passed on
         self.dials, self.name, self.end = 0, "", ""
-        self.out = deque[float]()  # when lines went to the server that it has not brought back
-        self.heard = self.told_late = self.slowest = 0.0
+        self.out = deque[Moment]()  # when lines went to the server that it has not brought back
+        self.heard = self.slowest = 0.0
         self.echoes, self.last = 0, b""
         shared.live[self] = None
         self.task: Task = self.loop.spawn(self.run())
@@ -302,7 +324,7 @@
         """Passes lines both ways until one side ends, or the client is to be moved."""
         client, server, started = self.client, self.server, self.loop.now
         assert server is not None
-        self.heard = self.told_late = started
+        self.heard = started
         while True:
             if not self.pass_to_client(handle, server):
                 self.move(handle, "of a malformed server", DialEnd.ERROR, started)
@@ -333,9 +355,9 @@
                 elif first in AFTER_ANSWER:
                     self.last = first
                 elif self.out:
-                    self.heard, delay = self.loop.now, self.loop.now - self.out.popleft()
-                    self.echoes, self.slowest = self.echoes + 1, max(self.slowest, delay)
-                    handle.report_delay(delay)
+                    sent, self.heard = self.out.popleft(), self.loop.now
+                    self.echoes, self.slowest = self.echoes + 1, max(self.slowest, self.heard - sent.at)
+                    self.shared.echo_took(handle, self.name, sent, self.heard)
                 self.client.write(line)
         except LongLineError:
             self.malformed("line over 4 KiB from a server")
@@ -349,7 +371,7 @@
         """False if the client has sent what is no line."""
         try:
             while not server.full and (line := self.client.line()) is not None:
-                self.out.append(self.loop.now)
+                self.out.append(Moment(self.loop.now, self.loop.stalled))
                 server.write(line)
         except LongLineError:
             self.malformed("line over 4 KiB")
@@ -361,15 +383,17 @@
         if not self.out:
             return math.inf
         now, oldest = self.loop.now, self.out[0]
-        if now - oldest >= LATE_AGAIN and now - self.told_late >= LATE_AGAIN:
-            self.told_late = now
-            handle.report_delay(now - oldest)
-        silent_at = max(oldest, self.heard) + SILENT
-        return min(silent_at, max(oldest, self.told_late) + LATE_AGAIN) if now < silent_at else now
+        silent_at = max(oldest.at, self.heard) + SILENT + self.loop.stalled - oldest.stalled
+        if now >= silent_at:
+            return now
+        if now < oldest.at + MISSING:
+            return oldest.at + MISSING
+        self.shared.echo_took(handle, self.name, oldest, now)
+        return min(silent_at, now + LATE_AGAIN)
 
     def read_load(self, handle: Handle, line: memoryview) -> None:
         try:
-            handle.report_load(float(rest(line)))
+            handle.report_load(float(rest(line)) / 1e6)  # told in microseconds of work a second
         except ValueError:
             self.malformed("LOAD without a figure")
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -44,7 +44,7 @@
     server.say(b"\n")
     proxy.until(lambda: client.read().endswith(b"m 2\r\n"))
     (live,) = proxy.proxy.sessions.live
-    assert live.handle.sess.load == 12.5 and live.handle.sess.server.delay.value < 0.1
+    assert live.handle.sess.load == 12.5 / 1e6 and live.handle.sess.server.delay.value < 0.1
 
 
 @pytest.mark.parametrize("said, outcome", [
@@ -172,6 +172,28 @@
     assert proxy.counts["clients silent server"] == 1
 
 
+def test_late_echoes_are_told_once_a_second_a_server_and_not_for_this_process_own_pause(loopback):
+    proxy = loopback()
+    both = [proxy.standing(), proxy.standing()]
+    late = proxy.proxy.facade.balancer.servers["a"]
+    for client, server in both:
+        client.say(b"m 1\r\n")
+        proxy.until(lambda server=server: server.read())
+    time.sleep(0.2)  # stands still: the lines come back meanwhile
+    for _, server in both:
+        server.say(b"m 1\r\n")
+    proxy.until(lambda: all(client.read() == b"m 1\r\n" for client, _ in both))
+    assert late.delay.value == 0.0
+    for client, _ in both:
+        client.say(b"m 2\r\n")
+    proxy.idle(0.25)
+    for _, server in both:
+        server.say(b"m 2\r\n")
+    proxy.until(lambda: late.delay.value > 0.2)
+    proxy.idle(0.05)
+    assert late.score(proxy.proxy.loop.now) <= 0.31  # two connections, one word
+
+
 def test_a_connection_from_before_the_start_is_tried_until_its_server_is_up(loopback):
     proxy = loopback()
     port = proxy.toys["a"].port
