--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -361,6 +361,17 @@
     proxy.until(lambda: not proxy.proxy.probes.standing)
 
 
+def test_a_late_answer_to_a_probe_is_not_taken_for_the_next_ones(loopback):
+    proxy = loopback(probes=True, probe_price=0.01, load_field="x0")
+    server = proxy.until(lambda: proxy.toys["a"].asked())
+    proxy.until(lambda: proxy.counts["probes timeout"] == 1)
+    server.say(b"PONG x0=0.9\r\n")
+    proxy.until(lambda: server.read() == b"STATS\r\nSTATS\r\n", within=9)  # on the same connection
+    server.say(b"PONG x0=0.2\r\n")
+    proxy.until(lambda: proxy.counts["probes ok"] == 1)
+    assert proxy.proxy.facade.balancer.servers["a"].load == 0.2
+
+
 def test_a_stop_moves_the_open_ones_answers_the_waiting_and_serves_late_comers(loopback):
     proxy = loopback()
     (first, _), (second, _) = proxy.standing(), proxy.standing()
