Session table in memory; clients gone before their dial spare it; list calls wait 3.5 s

By reading: a session whose client had left while a dial was being decided was dialled all the same; a reset client could end the accept turn with an error; a list call was cut off at 2 s though a busy list may work at it for 3 s.

--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -103,7 +103,7 @@
     def __init__(self, clock: Callable[[], float], settings: Settings, seed: int, counters: Counters,
                  log: Callable[[str], None], probe: Callable[[str], None],
                  watch: Callable[[], None]) -> None:  # fmt: skip
-        self.clock, self.settings, self.counters, self.log = clock, settings, counters, log
+        self.clock, self.counters, self.log = clock, counters, log
         self.probe, self.watch = probe, watch
         self.due = math.inf
         self.balancer = Balancer(self, settings, seed)
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import gc
 import math
@@ -110,7 +111,8 @@
                     return
                 continue  # that connection has gone already
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with contextlib.suppress(OSError):  # reset already: reading it will tell
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.counters.add("connections accepted")
             self.sessions.accept(sock)
 
@@ -151,7 +153,7 @@
         self.print_counters()
 
     def print_counters(self) -> None:
-        gauges = {"live": len(self.sessions.live), "descriptors": len(self.loop.watched),
+        gauges = {"live": len(self.sessions.table.live), "descriptors": len(self.loop.watched),
                   "log lines dropped": self.log.dropped}  # fmt: skip
         self.log.event("counters", **self.counters.snapshot(), **gauges)
 
@@ -160,12 +162,12 @@
         open ones are moved one after another over the time there is: all at once they would be a mass
         reconnect for the others."""
         began, last = self.loop.now, self.loop.now + self.stop_span
-        self.log.event("stop", live=len(self.sessions.live), within=round(self.stop_span, 2))
-        while self.sessions.live and self.loop.now < last:
+        self.log.event("stop", live=len(self.sessions.table.live), within=round(self.stop_span, 2))
+        while self.sessions.table.live and self.loop.now < last:
             now = self.loop.now
             if now >= began + STILL_COMING:
                 self.stop_listening()
-                open_ones = [sess for sess in self.sessions.live if sess.open and not sess.stopping]
+                open_ones = [sess for sess in self.sessions.table.live if sess.open and not sess.stopping]
                 share = STOP_STEP / max(STOP_STEP, last - STOP_MARGIN / 2 - now)
                 for sess in open_ones[: math.ceil(len(open_ones) * share)]:
                     sess.stop()
@@ -175,13 +177,13 @@
         while self.loop.now < began + STILL_COMING:
             yield began + STILL_COMING
         self.stop_listening()
-        for sess in list(self.sessions.live):
+        for sess in list(self.sessions.table.live):
             sess.stop_by = self.loop.now
             sess.stop()
         until = self.loop.now + 0.4  # last lines on their way out
         while self.loop.now < until and len(self.loop.watched) > 1:
             yield until
-        self.log.event("stopped", live=len(self.sessions.live), took=round(self.loop.now - began, 2))
+        self.log.event("stopped", live=len(self.sessions.table.live), took=round(self.loop.now - began, 2))
         self.loop.running = False
 
     def stop_listening(self) -> None:
--- a/onyxhollow/memory/tables.py
+++ b/onyxhollow/memory/tables.py
@@ -21,20 +21,28 @@
         return self.known.get(name)
 
 
-class Live(Generic[Item]):
-    """Things in order of their coming; the oldest is found without a look at the rest."""
+class SessionTable(Generic[Item]):
+    """The clients connected, in order of their coming, and which of them have asked for nothing yet."""
 
     def __init__(self) -> None:
-        self.items: dict[Item, None] = {}
+        self.live: dict[Item, None] = {}
+        self.idle: dict[Item, None] = {}
 
     def add(self, item: Item) -> None:
-        self.items[item] = None
+        self.live[item] = None
+
+    def waits(self, item: Item) -> None:
+        self.idle.setdefault(item)
+
+    def asked(self, item: Item) -> None:
+        self.idle.pop(item, None)
 
     def remove(self, item: Item) -> None:
-        self.items.pop(item, None)
+        del self.live[item]
+        self.asked(item)
 
-    def __len__(self) -> int:
-        return len(self.items)
+    def longest_idle(self) -> Item | None:
+        return next(iter(self.idle), None)
 
-    def all(self) -> list[Item]:
-        return list(self.items)
+    def __len__(self) -> int:
+        return len(self.live)
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -18,7 +18,7 @@
 from onyxhollow.wire.channel import Channel
 
 READY = {"active": Readiness.IN_SERVICE, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
-ANSWER = 2.0  # seconds for an answer beyond the wait that was asked for
+ANSWER = 3.5  # seconds for an answer beyond the wait asked for: a busy list works through calls in turn
 LARGEST = 4 * 1024 * 1024  # bytes of one list
 
 
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -13,7 +13,7 @@
 from onyxhollow.lifecycle.loop import Loop, Task
 from onyxhollow.memory.buffers import BufferPool, LongLineError
 from onyxhollow.memory.counters import Counters
-from onyxhollow.memory.tables import Addresses
+from onyxhollow.memory.tables import Addresses, SessionTable
 from onyxhollow.wire.channel import Channel
 from onyxhollow.wire.messages import MalformedError, Opening, read_opening, read_report, rest, word
 
@@ -51,8 +51,7 @@
         self.facade, self.listeners, self.customers = facade, listeners, customers
         self.load_field, self.connect_time, self.log = load_field, connect_time, log
         self.descriptors = descriptors - SPARE
-        self.live: dict[ClientSession, None] = {}
-        self.idle: dict[ClientSession, None] = {}  # nothing asked for yet, the longest first
+        self.table = SessionTable[ClientSession]()
         self.late_told: dict[str, float] = {}  # when late echoes were last told of, by server
 
     def accept(self, sock: Any) -> None:
@@ -71,9 +70,8 @@
 
     def make_room(self) -> bool:
         """Connections that ask for nothing must not take the place of those that do."""
-        while self.crowded and self.idle:
-            longest = next(iter(self.idle))
-            del self.idle[longest]
+        while self.crowded and (longest := self.table.longest_idle()) is not None:
+            self.table.asked(longest)
             longest.client.read()
             longest.wake()
             if not len(longest.client.inbox):  # else its line has come just now: it is served
@@ -102,7 +100,7 @@
         self.out = deque[Moment]()  # when lines went to the server that it has not brought back
         self.heard = self.slowest = 0.0
         self.echoes, self.last = 0, b""
-        shared.live[self] = None
+        shared.table.add(self)
         self.task: Task = self.loop.spawn(self.run())
 
     def wake(self) -> None:
@@ -129,8 +127,7 @@
         finally:
             if self.handle is not None:
                 self.handle.forget()
-            del self.shared.live[self]
-            self.shared.idle.pop(self, None)
+            self.shared.table.remove(self)
             for channel in (self.client, self.server):
                 if channel is not None and channel.wake == self.wake:
                     channel.close()
@@ -144,24 +141,24 @@
 
     def first_line(self) -> Generator[float, None, memoryview | None]:
         client, until = self.client, self.loop.now + FIRST_LINE
-        idle, half_by = self.shared.idle, 0.0
+        table, half_by = self.shared.table, 0.0
         while True:
             line = client.line()
             if line is not None:
                 if word(line) != b"PING":
-                    idle.pop(self, None)
+                    table.asked(self)
                     return line
                 self.counters.add("pings")
                 client.write(b"PONG\r\n")
                 until, half_by = self.loop.now + FIRST_LINE, 0.0
             elif client.ended or self.loop.now >= until or self.stopping:
-                idle.pop(self, None)
+                table.asked(self)
                 if half := client.inbox.rest():
                     raise MalformedError(f"half a line of {len(half)} bytes")
                 client.finish()
                 return None
             else:
-                idle[self] = None
+                table.waits(self)
                 client.settle(False)
                 if len(client.inbox) and not half_by:
                     half_by = until = min(until, self.loop.now + HALF_LINE)
@@ -200,6 +197,10 @@
             if choice.server is None:
                 self.answer(choice.refused, choice.retry_after)
                 return
+            if self.client.ended:
+                self.leave(handle)
+                handle.report(DialEnd.NOT_SENT, 0.0, True)
+                return
             self.name = choice.server
             self.dials += 1
             self.counters.add("dials")
@@ -306,7 +307,7 @@
             end, _ = yield from self.dial(name, opening, until - self.loop.now)
             if end is None:
                 break
-            if self.client.ended or self.loop.now >= until:
+            if self.client.ended or self.stopping or self.loop.now >= until:
                 self.answer(False, 0.0)
                 return
             again = self.loop.now + ADOPT_AGAIN
@@ -358,6 +359,7 @@
                     sent, self.heard = self.out.popleft(), self.loop.now
                     self.echoes, self.slowest = self.echoes + 1, max(self.slowest, self.heard - sent.at)
                     self.shared.echo_took(handle, self.name, sent, self.heard)
+                self.counters.add("lines to clients")
                 self.client.write(line)
         except LongLineError:
             self.malformed("line over 4 KiB from a server")
@@ -371,6 +373,7 @@
         """False if the client has sent what is no line."""
         try:
             while not server.full and (line := self.client.line()) is not None:
+                self.counters.add("lines to servers")
                 self.out.append(Moment(self.loop.now, self.loop.stalled))
                 server.write(line)
         except LongLineError:
