--- a/example/toy.py
+++ b/example/toy.py
@@ -80,6 +80,7 @@
 
 class Server(ThreadingTCPServer):
     allow_reuse_address = daemon_threads = True
+    request_queue_size = 128
 
 
 def serve() -> None:
