A server's last word survives a failed write; young connections are not closed for room

By reading, then seen in a story: a write to a server that had just said BYE and closed failed with a broken pipe, and the BYE still in the socket was lost: the client got a reset and the module a fault of the server. Lines at fault: channel.py, fail. The same end is now in order whenever a last word came. Making room could cut off a connection whose OPEN line was on its way. A client that ended with lines still to go to a full server lost them.

--- a/onyxhollow/lifecycle/loop.py
+++ b/onyxhollow/lifecycle/loop.py
@@ -37,7 +37,7 @@
     def __init__(self, failed: Callable[[str, BaseException], None]) -> None:
         self.failed = failed
         self.epoll = select.epoll()
-        self.watched: dict[int, Callable[[int], None]] = {}
+        self.watched: dict[int, tuple[int, Callable[[int], None]]] = {}
         self.runnable: deque[Task] = deque()
         self.due: list[tuple[float, int, Task]] = []
         self.counter, self.running, self.now = 0, True, time.monotonic()
@@ -51,10 +51,13 @@
     def watch(self, fd: int, events: int, call: Callable[[int], None] | None) -> None:
         """What to listen for on a descriptor. With no events it is let go: the end of a connection is told
         again and again otherwise, and the loop would spin."""
-        known = fd in self.watched
+        known = self.watched.get(fd)
         if events and call:
-            self.watched[fd] = call
-            (self.epoll.modify if known else self.epoll.register)(fd, events)
+            self.watched[fd] = (events, call)
+            if known is None:
+                self.epoll.register(fd, events)
+            elif known[0] != events:
+                self.epoll.modify(fd, events)
         elif known:
             del self.watched[fd]
             self.epoll.unregister(fd)
@@ -99,11 +102,10 @@
         events = self.epoll.poll(nap)
         self.now = time.monotonic()
         for fd, what in events:
-            call = self.watched.get(fd)
-            if call is None:
+            if fd not in self.watched:
                 continue  # let go by one served before it
             try:
-                call(what)
+                self.watched[fd][1](what)
             except Exception as error:
                 self.failed("descriptor", error)
         self.fire_due()
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -128,7 +128,9 @@
             self.wrote = True
 
     def fail(self) -> None:
-        """A write failed: what was read before may still be used."""
+        """A write failed. What the other side said before it went, BYE perhaps, is still there to be read."""
+        if not self.ended and not self.paused:
+            self.read()
         self.ended = self.broken = True
         self.out.clear()
         self.loop.watch(self.fd, 0, None)
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -21,6 +21,7 @@
 
 SPARE = 48  # descriptors kept free for dials under way, probes and the server list
 FIRST_LINE = 30.0  # seconds in which a connection says what it wants
+YOUNG = 2.0  # seconds for which a new connection is not closed to make room
 HALF_LINE = 10.0  # seconds for a line that has begun to end
 HURRY = 0.03  # seconds of the client's wait, a tenth at most, kept for the answer's own way and a busy core
 ADOPTED = 39.0  # seconds for a connection that was open before the run to be up again
@@ -71,6 +72,8 @@
     def make_room(self) -> bool:
         """Connections that ask for nothing must not take the place of those that do."""
         while self.crowded and (longest := self.table.longest_idle()) is not None:
+            if self.loop.now - longest.came < YOUNG:
+                break  # its line may be on the way
             self.table.asked(longest)
             longest.client.read()
             longest.wake()
@@ -100,6 +103,7 @@
         self.out = deque[Moment]()  # when lines went to the server that it has not brought back
         self.heard = self.slowest = 0.0
         self.echoes, self.last = 0, b""
+        self.came = self.loop.now
         shared.table.add(self)
         self.task: Task = self.loop.spawn(self.run())
 
@@ -256,8 +260,7 @@
             server = Channel.dial(self.loop, address, self.shared.pool, self.wake)
         except OSError:
             return DialEnd.CONNECT_FAILED, None
-        self.server = server
-        end, load, told_gone = DialEnd.UNKNOWN, None, False
+        self.server, told_gone = server, False
         try:
             while server.connecting and self.loop.now < up_by and not server.broken:
                 if handle and handle.call_back:
@@ -265,8 +268,7 @@
                 yield up_by
             if server.connecting or server.broken:
                 return DialEnd.CONNECT_FAILED, None
-            left = opening.line if opening.at else opening.forwarded(until - self.loop.now)
-            server.write(left)
+            server.write(opening.line if opening.at else opening.forwarded(until - self.loop.now))
             while True:
                 if (line := server.line()) is not None:
                     first = word(line)
@@ -276,9 +278,8 @@
                         return None, None
                     if first == b"UP":
                         return DialEnd.CANCELLED, None
-                    end = BEFORE_ANSWER.get(first, DialEnd.UNKNOWN)
                     load = read_report(rest(line), self.shared.load_field)
-                    return end, load
+                    return BEFORE_ANSWER.get(first, DialEnd.UNKNOWN), load
                 if server.ended:
                     return (DialEnd.RESET if server.wrote else DialEnd.CONNECT_FAILED), None
                 if self.loop.now >= until:
@@ -333,7 +334,7 @@
                 self.move(handle, "malformed", DialEnd.CANCELLED, started)
             elif server.ended:
                 self.finish_with(handle, AFTER_ANSWER.get(self.last, DialEnd.RESET), started)
-            elif client.ended:
+            elif client.ended and not server.full:
                 self.client_left(handle, started)
             elif handle.move or self.stopping:
                 self.move(handle, "moved" if handle.move else "moved at stop", DialEnd.CANCELLED, started)
@@ -415,7 +416,7 @@
         self.counters.add(f"connections {end.value}")
         self.end = end.value
         server = self.server
-        if server is not None and server.broken and not self.client.out:
+        if server is not None and server.broken and end is DialEnd.RESET and not self.client.out:
             self.client.reset()
         else:
             self.client.finish()
@@ -426,7 +427,10 @@
     def client_left(self, handle: Handle, started: float) -> None:
         self.counters.add("connections ended by the client")
         self.end = "client left"
+        if half := self.client.inbox.rest():
+            self.malformed(f"half a line of {len(half)} bytes")
         if self.server is not None:
+            self.server.write(half)
             if self.client.broken:
                 self.server.reset()
             else:
