--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -51,7 +51,8 @@
             self.addresses.learn(name, address)
         self.discovery = Discovery(
             self.loop, self.pool, self.counters, config.discovery, wait=settings.ask_within / 2,
-            clock_ahead=clock_ahead, version=config.known.version, addresses=self.addresses,
+            clock_ahead=clock_ahead, version=config.known.version, pushed=not settings.watched,
+            addresses=self.addresses,
             told=self.list_told, log=self.log.event,
         )  # fmt: skip
         self.probes = Probes(
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -19,6 +19,7 @@
 
 READY = {"active": Readiness.IN_SERVICE, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 ANSWER = 3.5  # seconds for an answer beyond the wait asked for: a busy list works through calls in turn
+ASK_AGAIN = 0.5  # seconds after a failure where the module leaves the asking to its host
 LARGEST = 4 * 1024 * 1024  # bytes of one list
 
 
@@ -121,13 +122,13 @@
 
 class Discovery:
     def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, address: Address, wait: float,
-                 clock_ahead: float, version: int, addresses: Addresses,
+                 clock_ahead: float, version: int, pushed: bool, addresses: Addresses,
                  told: Callable[[ListKind, list[Entry]], None],
                  log: Callable[..., None]) -> None:  # fmt: skip
         self.loop, self.pool, self.counters, self.address = loop, pool, counters, address
         self.wait, self.clock_ahead, self.version = wait, clock_ahead, version
         self.addresses, self.told, self.log = addresses, told, log
-        self.asked, self.watching = False, False
+        self.pushed = self.asked = pushed  # pushed: the module expects to be told without having asked
         self.call: Call | None = None
         self.task = loop.spawn(self.follow())
 
@@ -147,6 +148,11 @@
                 if not (yield from self.ask_once(wait)):
                     break
                 first = False
+            if self.pushed:
+                again = self.loop.now + ASK_AGAIN
+                while self.loop.now < again:
+                    yield again
+                self.asked = True
 
     def ask_once(self, wait: float) -> Generator[float, None, bool]:
         target = "/v1/endpoints"
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -359,6 +359,14 @@
     assert not client.end and not proxy.counts["failures"]
 
 
+def test_a_list_that_the_module_does_not_ask_for_is_followed_all_the_same(loopback):
+    proxy = loopback(watched=False)
+    first = proxy.until(lambda: proxy.list.asked())
+    first.sock.close()
+    proxy.answer_list(LIST, count=2)
+    proxy.until(lambda: proxy.list.peers[1].read().startswith(b"GET /v1/endpoints?index=8&wait=5000"))
+
+
 def test_a_list_that_says_nothing_is_given_up_in_time(loopback, monkeypatch):
     monkeypatch.setattr("onyxhollow.wire.discovery.ANSWER", 0.2)
     proxy = loopback()
