--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -33,7 +33,7 @@
         self.sess: Session | None = None
         self.chosen: Pick | None = None
         self.call_back = self.move = False  # the dial out is to be given up; the client is to be moved
-        self.dialling = self.answered = self.ended = False
+        self.dialling = self.answered = False
 
     def choose(self, chosen: Pick) -> None:
         must = self.facade.counters.must
@@ -55,8 +55,9 @@
 
     def report(self, end: DialEnd, took: float, final: bool = False, load: float | None = None) -> None:
         """How a dial, or the connection that came of it, has ended."""
+        self.facade.counters.must(self.dialling, "an end belongs to a dial that is out")
         self.dialling = self.call_back = False
-        self.answered, self.ended = self.answered or final, final
+        self.answered = self.answered or final
         if self.sess:
             self.sess.dial_ended(end, final, took, load)
 
@@ -81,8 +82,9 @@
 
     def forget(self) -> None:
         """However its connection ended: the module must not count it among the open ones for ever."""
-        if not self.ended:
+        if not self.answered:
             self.report_gone()
+        if self.dialling:
             self.report(DialEnd.CANCELLED, 0.0, True)
 
     def give_up(self) -> Pick:
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -237,6 +237,7 @@
         self.client.finish()
 
     def answer(self, refused: bool, retry_after: float) -> None:
+        self.counters.must(not self.open and not self.end, "one answer to a session")
         self.counters.add("sessions refused" if refused else "sessions torn down")
         self.end = "refused" if refused else "torn down"
         if not refused:
@@ -403,6 +404,7 @@
 
     def move(self, handle: Handle, why: str, end: DialEnd, started: float) -> None:
         """MOVE goes between two lines: only whole lines are ever put into the client's buffer."""
+        self.counters.must(self.open and not self.end, "only an open connection is moved")
         self.counters.add(f"clients {why}")
         self.client.write(b"MOVE\r\n")
         self.client.finish()
