--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -15,7 +15,8 @@
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Addresses, SessionTable
 from onyxhollow.wire.channel import Channel
-from onyxhollow.wire.messages import MalformedError, Opening, read_opening, read_report, rest, word
+from onyxhollow.wire.messages import MalformedError, Opening, read_opening, rest, word
+from onyxhollow.wire.servers import Dialled, Servers
 
 Steps = Generator[float, None, None]
 
@@ -31,7 +32,6 @@
 LONG = 0.01  # seconds; echoes that come sooner say how busy this core is, nothing of the server
 LATE_AGAIN = 1.0  # seconds from word to word of late echoes at one server
 AFTER_ANSWER = {b"BYE": DialEnd.OK, b"MOVE": DialEnd.CANCELLED, b"ERR": DialEnd.ERROR}
-BEFORE_ANSWER = {b"BUSY": DialEnd.FULL, b"ERR": DialEnd.ERROR, b"BYE": DialEnd.OK, b"MOVE": DialEnd.CANCELLED}
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,9 +48,9 @@
     def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, addresses: Addresses, facade: Facade,
                  listeners: dict[str, Listener], customers: dict[str, Customer], load_field: str,
                  connect_time: float, descriptors: int, log: Callable[..., None]) -> None:  # fmt: skip
-        self.loop, self.pool, self.counters, self.addresses = loop, pool, counters, addresses
-        self.facade, self.listeners, self.customers = facade, listeners, customers
-        self.load_field, self.connect_time, self.log = load_field, connect_time, log
+        self.loop, self.pool, self.counters = loop, pool, counters
+        self.facade, self.listeners, self.customers, self.log = facade, listeners, customers, log
+        self.servers = Servers(loop, pool, addresses, load_field, connect_time, self.malformed)
         self.descriptors = descriptors - SPARE
         self.table = SessionTable[ClientSession]()
         self.late_told: dict[str, float] = {}  # when late echoes were last told of, by server
@@ -82,6 +82,10 @@
                 self.counters.add("idle connections closed for room")
         return not self.crowded
 
+    def malformed(self, why: str) -> None:
+        self.counters.add("malformed lines")
+        self.log("malformed", why=why)
+
     @property
     def crowded(self) -> bool:
         return len(self.loop.watched) >= self.descriptors
@@ -120,7 +124,7 @@
                 self.opening = read_opening(line)
                 yield from self.serve(self.opening)
         except (MalformedError, LongLineError) as error:
-            self.malformed(str(error) or "line over 4 KiB")
+            self.shared.malformed(str(error) or "line over 4 KiB")
             self.client.write(b"ERR\r\n")
             self.client.finish()
         except Exception as error:
@@ -139,10 +143,6 @@
                 self.shared.log("session", id=self.opening.name, server=self.name, dials=self.dials,
                                 end=self.end, echoes=self.echoes, slowest=round(self.slowest, 4))  # fmt: skip
 
-    def malformed(self, why: str) -> None:
-        self.counters.add("malformed lines")
-        self.shared.log("malformed", why=why, open=self.open)
-
     def first_line(self) -> Generator[float, None, memoryview | None]:
         client, until = self.client, self.loop.now + FIRST_LINE
         table, half_by = self.shared.table, 0.0
@@ -209,9 +209,9 @@
             self.dials += 1
             self.counters.add("dials")
             started = self.loop.now
-            end, load = yield from self.dial(choice.server, opening, choice.time)
-            took = self.loop.now - started
-            if end is None:
+            dialled = yield from self.dial(choice.server, opening, choice.time)
+            took, end = self.loop.now - started, dialled.end
+            if self.open:
                 self.counters.add("sessions accepted")
                 handle.report_accepted(took)
                 yield from self.relay(handle)
@@ -222,12 +222,12 @@
                             since=round(self.loop.now - took_at, 4))  # fmt: skip
             if self.client.ended:
                 self.leave(handle)
-                handle.report(end, took, True, load)
+                handle.report(end, took, True, dialled.load)
                 return
             if self.loop.now >= self.stop_by:
                 self.answer(handle.give_up().refused, 0.0)
                 return
-            handle.report(end, took, False, load)
+            handle.report(end, took, False, dialled.load)
 
     def leave(self, handle: Handle) -> None:
         """The client has gone before it was answered."""
@@ -248,66 +248,32 @@
             self.client.write(b"BUSY\r\n")
         self.client.finish()
 
-    def dial(self, name: str, opening: Opening,
-             wait: float) -> Generator[float, None, tuple[DialEnd | None, float | None]]:  # fmt: skip
-        """One dial: None when the server has said UP (passed on already), else how it ended. Its connection
-        is closed then: a copy left behind could still run."""
-        started, handle, client = self.loop.now, self.handle, self.client
-        until, up_by = started + wait, started + min(wait, self.shared.connect_time)
-        address = self.shared.addresses.find(name)
-        if address is None:
-            return DialEnd.CONNECT_FAILED, None
-        try:
-            server = Channel.dial(self.loop, address, self.shared.pool, self.wake)
-        except OSError:
-            return DialEnd.CONNECT_FAILED, None
-        self.server, told_gone = server, False
-        try:
-            while server.connecting and self.loop.now < up_by and not server.broken:
-                if handle and handle.call_back:
-                    return DialEnd.CANCELLED, None
-                yield up_by
-            if server.connecting or server.broken:
-                return DialEnd.CONNECT_FAILED, None
-            server.write(opening.line if opening.at else opening.forwarded(until - self.loop.now))
-            while True:
-                if (line := server.line()) is not None:
-                    first = word(line)
-                    if first == b"UP" and not client.ended:
-                        client.write(line)
-                        self.open = True
-                        return None, None
-                    if first == b"UP":
-                        return DialEnd.CANCELLED, None
-                    load = read_report(rest(line), self.shared.load_field)
-                    return BEFORE_ANSWER.get(first, DialEnd.UNKNOWN), load
-                if server.ended:
-                    return (DialEnd.RESET if server.wrote else DialEnd.CONNECT_FAILED), None
-                if self.loop.now >= until:
-                    return (DialEnd.TIMEOUT if server.wrote else DialEnd.CONNECT_FAILED), None
-                if handle and client.ended and not told_gone:
-                    told_gone = True
-                    handle.report_gone()
-                if handle and handle.call_back:
-                    return DialEnd.CANCELLED, None
-                if self.loop.now >= self.stop_by:
-                    return DialEnd.TIMEOUT, None
-                yield until
-        except LongLineError:
-            self.malformed("line over 4 KiB from a server")
-            return DialEnd.UNKNOWN, None
-        finally:
-            if not self.open:
-                server.close()
-                self.server = None
+    def dial(self, name: str, opening: Opening, wait: float) -> Generator[float, None, Dialled]:
+        line = opening.forwarded if opening.at is None else lambda _: opening.line
+        dialled = yield from self.shared.servers.dial(name, wait, line, self.wake, self.given_up)
+        if dialled.channel is not None and self.client.ended:
+            dialled.channel.close()
+            return Dialled(DialEnd.CANCELLED)
+        if dialled.channel is not None:
+            self.server, self.open = dialled.channel, True
+            self.client.write(dialled.receipt)
+        return dialled
+
+    def given_up(self) -> DialEnd | None:
+        """Whether the dial that is out is to end now, and as what."""
+        if self.handle is not None and self.client.ended and not self.handle.answered:
+            self.handle.report_gone()  # where it is allowed, the module calls the dial back
+        if self.handle is not None and self.handle.call_back:
+            return DialEnd.CANCELLED
+        return DialEnd.TIMEOUT if self.loop.now >= self.stop_by else None
 
     def adopt(self, opening: Opening, listener: Listener, customer: Customer | None) -> Steps:
         """A connection that was open before the run: to that server and no other, until it is up."""
         name, until = opening.at or "", self.loop.now + ADOPTED
         self.name = name
         while True:
-            end, _ = yield from self.dial(name, opening, until - self.loop.now)
-            if end is None:
+            yield from self.dial(name, opening, until - self.loop.now)
+            if self.open:
                 break
             if self.client.ended or self.stopping or self.loop.now >= until:
                 self.answer(False, 0.0)
@@ -364,10 +330,10 @@
                 self.counters.add("lines to clients")
                 self.client.write(line)
         except LongLineError:
-            self.malformed("line over 4 KiB from a server")
+            self.shared.malformed("line over 4 KiB from a server")
             return False
         if server.ended and (half := server.inbox.rest()):
-            self.malformed(f"half a line of {len(half)} bytes from a server")
+            self.shared.malformed(f"half a line of {len(half)} bytes from a server")
             self.client.write(half)
         return True
 
@@ -379,7 +345,7 @@
                 self.out.append(Moment(self.loop.now, self.loop.stalled))
                 server.write(line)
         except LongLineError:
-            self.malformed("line over 4 KiB")
+            self.shared.malformed("line over 4 KiB")
             return False
         return True
 
@@ -400,7 +366,7 @@
         try:
             handle.report_load(float(rest(line)) / 1e6)  # told in microseconds of work a second
         except ValueError:
-            self.malformed("LOAD without a figure")
+            self.shared.malformed("LOAD without a figure")
 
     def move(self, handle: Handle, why: str, end: DialEnd, started: float) -> None:
         """MOVE goes between two lines: only whole lines are ever put into the client's buffer."""
@@ -430,7 +396,7 @@
         self.counters.add("connections ended by the client")
         self.end = "client left"
         if half := self.client.inbox.rest():
-            self.malformed(f"half a line of {len(half)} bytes")
+            self.shared.malformed(f"half a line of {len(half)} bytes")
         if self.server is not None:
             self.server.write(half)
             if self.client.broken:
