--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -28,6 +28,7 @@
 ADOPTED = 39.0  # seconds for a connection that was open before the run to be up again
 ADOPT_AGAIN = 0.25  # seconds between tries for such a one
 SILENT = 3.0  # seconds without an echo after which a server counts as gone
+MOST_STALLED = 2.0  # seconds by which this process' own pauses put that off
 MISSING = 0.5  # seconds after which an echo still out is told as late
 LONG = 0.01  # seconds; echoes that come sooner say how busy this core is, nothing of the server
 LATE_AGAIN = 1.0  # seconds from word to word of late echoes at one server
@@ -174,7 +175,7 @@
         shared = self.shared
         listener = shared.listeners.get(opening.listener)
         if listener is None:
-            raise MalformedError(f"no such class {opening.listener[:40]!r}")
+            raise MalformedError(f"no such listener {opening.listener[:40]!r}")
         customer = shared.customers.get(opening.customer)
         self.counters.add("sessions taken")
         if opening.at is not None:
@@ -261,9 +262,10 @@
 
     def given_up(self) -> DialEnd | None:
         """Whether the dial that is out is to end now, and as what."""
-        if self.handle is not None and self.client.ended and not self.handle.answered:
-            self.handle.report_gone()  # where it is allowed, the module calls the dial back
-        if self.handle is not None and self.handle.call_back:
+        handle = self.handle
+        if handle is not None and self.client.ended and not handle.answered:
+            handle.report_gone()  # where it is allowed, the module calls the dial back
+        if handle.call_back if handle is not None else self.client.ended:
             return DialEnd.CANCELLED
         return DialEnd.TIMEOUT if self.loop.now >= self.stop_by else None
 
@@ -354,7 +356,9 @@
         if not self.out:
             return math.inf
         now, oldest = self.loop.now, self.out[0]
-        silent_at = max(oldest.at, self.heard) + SILENT + self.loop.stalled - oldest.stalled
+        # A core so busy that every timer is late must not put the end off for ever.
+        stalled = min(MOST_STALLED, self.loop.stalled - oldest.stalled)
+        silent_at = max(oldest.at, self.heard) + SILENT + stalled
         if now >= silent_at:
             return now
         if now < oldest.at + MISSING:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -223,6 +223,15 @@
     assert len(proxy.proxy.facade.balancer.servers["a"].connections) == 1
 
 
+def test_a_client_from_before_the_start_that_leaves_meanwhile_is_not_waited_on(loopback):
+    proxy = loopback()
+    client = proxy.client(b"OPEN 9b1f 7f3a c=calls,d=2000,at=a\r\n")
+    server = proxy.until(lambda: proxy.toys["a"].asked())
+    client.sock.close()
+    proxy.until(lambda: server.read() and server.end)
+    proxy.until(lambda: not proxy.proxy.sessions.table.live)
+
+
 @pytest.mark.parametrize("said", [
     b"HELLO\r\n", b"OPEN 1 2 c=calls,d=x\r\n", b"OPEN 1 2 c=nobody,d=9\r\n", b"OPEN 1 2 c=calls\r\n",
     b"x" * 5000, b"OPEN 1 2 c=calls,c=calls,d=9\r\n", b"OPEN \xff 2 c=calls,d=9\r\n",
