A stop asks the module to answer; sleeping and arming in the loop, no second stop time

At a stop the facade wrote into the module's session which server it may have run on, which is rule 2 told a second time: now the session's time is up and the module answers it on its own path. What the client gets is as before, but for one case: a once-only session whose dial had not come up is refused, since it never ran, where it was torn down.

--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -87,14 +87,15 @@
         if self.dialling:
             self.report(DialEnd.CANCELLED, 0.0, True)
 
-    def give_up(self) -> Pick:
-        """At the end of the stop: the final answer now, by the module's own rule on what may have run."""
-        sess, dialled = self.sess, self.dialling
-        self.dialling, self.chosen = False, None
-        if sess is not None and not sess.answered:
-            if dialled and sess.may_run_at is None:
-                sess.may_run_at = sess.server
-            sess.balancer.end(sess)
+    def give_up(self, end: DialEnd | None = None, took: float = 0.0) -> Pick:
+        """At the end of the stop: the session's time is up, and the module answers it by its own rules. end:
+        how the dial that was out has ended; None if it waits for one."""
+        if self.sess is not None:
+            self.sess.give_up = -math.inf
+            if end is None:
+                self.sess.balancer.dial(self.sess)
+            else:
+                self.report(end, took)
         chosen, self.chosen, self.answered = self.chosen, None, True
         return chosen or Pick()
 
--- a/onyxhollow/lifecycle/loop.py
+++ b/onyxhollow/lifecycle/loop.py
@@ -73,11 +73,19 @@
             task.done = True
             self.failed("coroutine", error)
             return
+        self.arm(task)
+
+    def arm(self, task: Task) -> None:
         if task.until < task.armed:
             task.armed = task.until
             self.counter += 1
             heapq.heappush(self.due, (task.until, self.counter, task))
 
+    def sleep(self, span: float) -> Coroutine:
+        until = self.now + span
+        while self.now < until:
+            yield until
+
     def fire_due(self) -> None:
         if self.due and (late := self.now - self.due[0][0]) > STALL:
             self.stalled += late
@@ -88,10 +96,8 @@
             task.armed = math.inf
             if task.until <= self.now:
                 task.wake()
-            elif task.until < math.inf:  # it waits for longer by now
-                task.armed = task.until
-                self.counter += 1
-                heapq.heappush(self.due, (task.until, self.counter, task))
+            else:  # it waits for longer by now
+                self.arm(task)
 
     def turn(self, longest: float = LONGEST_NAP) -> None:
         nap = longest
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -118,9 +118,7 @@
             self.sessions.accept(sock)
 
     def accept_again(self) -> Generator[float, None, None]:
-        until = self.loop.now + NO_DESCRIPTOR
-        while self.loop.now < until:
-            yield until
+        yield from self.loop.sleep(NO_DESCRIPTOR)
         if self.listener.fileno() >= 0:
             self.loop.watch(self.listener.fileno(), READ, self.accept)
 
@@ -154,7 +152,7 @@
         self.print_counters()
 
     def print_counters(self) -> None:
-        gauges = {"live": len(self.sessions.table.live), "descriptors": len(self.loop.watched),
+        gauges = {"live": len(self.sessions.table), "descriptors": len(self.loop.watched),
                   "log lines dropped": self.log.dropped}  # fmt: skip
         self.log.event("counters", **self.counters.snapshot(), **gauges)
 
@@ -163,7 +161,7 @@
         open ones are moved one after another over the time there is: all at once they would be a mass
         reconnect for the others."""
         began, last = self.loop.now, self.loop.now + self.stop_span
-        self.log.event("stop", live=len(self.sessions.table.live), within=round(self.stop_span, 2))
+        self.log.event("stop", live=len(self.sessions.table), within=round(self.stop_span, 2))
         while self.sessions.table.live and self.loop.now < last:
             now = self.loop.now
             if now >= began + STILL_COMING:
@@ -172,19 +170,15 @@
                 share = STOP_STEP / max(STOP_STEP, last - STOP_MARGIN / 2 - now)
                 for sess in open_ones[: math.ceil(len(open_ones) * share)]:
                     sess.stop()
-            until = now + STOP_STEP
-            while self.loop.now < until:
-                yield until
-        while self.loop.now < began + STILL_COMING:
-            yield began + STILL_COMING
+            yield from self.loop.sleep(STOP_STEP)
+        yield from self.loop.sleep(began + STILL_COMING - self.loop.now)
         self.stop_listening()
         for sess in list(self.sessions.table.live):
-            sess.stop_by = self.loop.now
             sess.stop()
         until = self.loop.now + 0.4  # last lines on their way out
         while self.loop.now < until and len(self.loop.watched) > 1:
             yield until
-        self.log.event("stopped", live=len(self.sessions.table.live), took=round(self.loop.now - began, 2))
+        self.log.event("stopped", live=len(self.sessions.table), took=round(self.loop.now - began, 2))
         self.loop.running = False
 
     def stop_listening(self) -> None:
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -59,7 +59,6 @@
                 self.loop.watch(self.fd, 0, None)
                 self.wake()
                 return
-            self.flush()
         if events & WRITE:
             self.flush()
         if not self.ended and not self.paused and events & ~WRITE:
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -149,9 +149,7 @@
                     break
                 first = False
             if self.pushed:
-                again = self.loop.now + ASK_AGAIN
-                while self.loop.now < again:
-                    yield again
+                yield from self.loop.sleep(ASK_AGAIN)
                 self.asked = True
 
     def ask_once(self, wait: float) -> Generator[float, None, bool]:
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -95,8 +95,6 @@
 class ClientSession:
     """One client's connection."""
 
-    stop_by = math.inf  # when the proxy stops, the time by which it must have its answer
-
     def __init__(self, shared: Sessions, sock: Any) -> None:
         self.shared, self.loop, self.counters = shared, shared.loop, shared.counters
         self.client = Channel(self.loop, sock, shared.pool, self.wake)
@@ -132,7 +130,7 @@
             # The module or this code failed: the session is still owed an answer, and the proxy goes on.
             self.loop.failed("session", error)
             if not self.open and not self.client.closed:
-                self.answer(False, 0.0)
+                self.answer(False)
         finally:
             if self.handle is not None:
                 self.handle.forget()
@@ -184,7 +182,7 @@
         if not shared.make_room():
             # A dial without a descriptor would fail here and be held against the server.
             self.counters.add("sessions refused for want of descriptors")
-            self.answer(True, 0.0)
+            self.answer(True)
             return
         took_at = self.loop.now
         left = opening.left - min(HURRY, opening.left / 10)
@@ -197,7 +195,7 @@
                 if self.client.ended:
                     self.leave(handle)
                 else:
-                    self.answer(handle.give_up().refused, 0.0)
+                    self.answer(handle.give_up().refused)
                 return
             if choice.server is None:
                 self.answer(choice.refused, choice.retry_after)
@@ -225,8 +223,8 @@
                 self.leave(handle)
                 handle.report(end, took, True, dialled.load)
                 return
-            if self.loop.now >= self.stop_by:
-                self.answer(handle.give_up().refused, 0.0)
+            if self.stopping:
+                self.answer(handle.give_up(end, took).refused)
                 return
             handle.report(end, took, False, dialled.load)
 
@@ -237,7 +235,7 @@
         handle.report_gone()
         self.client.finish()
 
-    def answer(self, refused: bool, retry_after: float) -> None:
+    def answer(self, refused: bool, retry_after: float = 0.0) -> None:
         self.counters.must(not self.open and not self.end, "one answer to a session")
         self.counters.add("sessions refused" if refused else "sessions torn down")
         self.end = "refused" if refused else "torn down"
@@ -267,7 +265,7 @@
             handle.report_gone()  # where it is allowed, the module calls the dial back
         if handle.call_back if handle is not None else self.client.ended:
             return DialEnd.CANCELLED
-        return DialEnd.TIMEOUT if self.loop.now >= self.stop_by else None
+        return DialEnd.CANCELLED if self.stopping else None
 
     def adopt(self, opening: Opening, listener: Listener, customer: Customer | None) -> Steps:
         """A connection that was open before the run: to that server and no other, until it is up."""
@@ -278,11 +276,9 @@
             if self.open:
                 break
             if self.client.ended or self.stopping or self.loop.now >= until:
-                self.answer(False, 0.0)
+                self.answer(False)
                 return
-            again = self.loop.now + ADOPT_AGAIN
-            while self.loop.now < again:
-                yield again
+            yield from self.loop.sleep(ADOPT_AGAIN)
         self.counters.add("sessions adopted")
         handle = self.handle = self.shared.facade.adopt(
             self.wake, listener, customer, opening.group, opening.load, name
@@ -412,6 +408,6 @@
         handle.report(DialEnd.CANCELLED, self.loop.now - started, True)
 
     def stop(self) -> None:
-        """This proxy stops: an open connection is moved; one that waits is answered by the given time."""
+        """This proxy stops: an open connection is moved; one that waits is answered now."""
         self.stopping = True
         self.wake()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -171,6 +171,11 @@
         client.got = server.got = b""
         return client, server
 
+    def first_dial(self):
+        """The first server dialled of two, and the toy of the other."""
+        first = self.until(lambda: next(filter(None, (toy.asked() for toy in self.toys.values())), None))
+        return first, next(toy for toy in self.toys.values() if first not in toy.peers)
+
     def answer_list(self, body, status=b"200 OK", count=1):
         peer = self.until(lambda: self.list.asked(count))
         peer.got = b""
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -2,23 +2,24 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
 import sys
 import time
+from dataclasses import replace
 
 import pytest
+from conftest import CALLS
 
 from onyxhollow.__main__ import main
-from onyxhollow.interface import Listener, Repeat
+from onyxhollow.interface import Repeat
 from onyxhollow.memory.buffers import BufferPool, LineBuffer, LongLineError
 from onyxhollow.memory.counters import Counters
 from onyxhollow.wire import sessions
 
-CALLS = Listener("calls", handshake_target=0.3, dial_timeout=2.0, message_target=0.1)
-ONCE = Listener("once", handshake_target=0.3, dial_timeout=2.0, repeat=Repeat.ONCE_ONLY)
-BOTH = {"calls": CALLS, "once": ONCE}
+BOTH = {"calls": CALLS, "once": replace(CALLS, name="once", repeat=Repeat.ONCE_ONLY)}
 LIST = json.dumps({"seq": 8, "whole": False, "hosts": []}).encode()
 
 
@@ -54,11 +55,10 @@
 def test_a_dial_that_fails_is_followed_by_another_and_the_last_by_an_answer(loopback, said, outcome):
     proxy = loopback("ab", load_field="x0")
     client = proxy.open()
-    first = proxy.until(lambda: proxy.toys["a"].asked() or proxy.toys["b"].asked())
+    first, other = proxy.first_dial()
     first.say(said)
     first.sock.close()
-    rest = [toy for toy in proxy.toys.values() if first not in toy.peers]
-    second = proxy.until(lambda: rest[0].asked())
+    second = proxy.until(lambda: other.asked())
     second.say(said)
     second.sock.close()
     proxy.until(lambda: client.read() and client.end)
@@ -89,9 +89,8 @@
 def test_the_connection_of_a_timed_out_dial_is_closed_before_the_next_dial(loopback):
     proxy = loopback("ab")
     client = proxy.open()
-    first = proxy.until(lambda: proxy.toys["a"].asked() or proxy.toys["b"].asked())
-    rest = [toy for toy in proxy.toys.values() if first not in toy.peers]
-    proxy.until(lambda: rest[0].asked())
+    first, other = proxy.first_dial()
+    proxy.until(lambda: other.asked())
     assert first.read() and first.end == "closed" and proxy.counts["dials timeout"] == 1 and not client.read()
 
 
@@ -316,8 +315,6 @@
 def test_no_descriptor_at_all_does_not_spin_and_accepting_goes_on_later(loopback, monkeypatch):
     proxy = loopback()
     held, turns = [], 0
-    import resource
-
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     peer = proxy.client(b"PING\r\n")
     resource.setrlimit(resource.RLIMIT_NOFILE, (max(os.dup(0) + 1, 64), hard))
@@ -421,6 +418,17 @@
     assert waiting.read() == b"BUSY\r\n" and not proxy.proxy.sessions.table.live
 
 
+def test_a_once_only_session_that_may_have_run_is_torn_down_by_a_stop_and_not_refused(loopback):
+    proxy = loopback(listeners=BOTH)
+    client = proxy.open("once", wait=5000)
+    server = proxy.until(lambda: proxy.toys["a"].asked())
+    proxy.proxy.stop_span = 0.6
+    proxy.proxy.loop.spawn(proxy.proxy.stop())
+    proxy.until(lambda: not proxy.proxy.loop.running, within=3)
+    assert client.read() == b"ERR\r\n" and server.read() and server.end == "closed"
+    assert not proxy.proxy.facade.balancer.servers["a"].connections and not proxy.counts["failures"]
+
+
 def test_the_program_stops_on_sigterm_with_its_counters_and_without_an_error(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
