SIGHUP reloads the configuration and follows the list at its new address

Also $LB_DISCOVERY always won over the file in lifecycle/config.py decode(). A quota that is no number is now a bad configuration, not a traceback.

--- a/onyxhollow/__main__.py
+++ b/onyxhollow/__main__.py
@@ -37,7 +37,7 @@
         print(f"{config.name}: listens on {host}:{port}, one of {settings.balancers} balancers")
         print(f"servers known {len(config.known.entries)}, listeners {len(settings.listeners)}")
         return 0
-    return serve(config, ahead)
+    return serve(config, told.config, ahead)
 
 
 if __name__ == "__main__":
--- a/onyxhollow/lifecycle/config.py
+++ b/onyxhollow/lifecycle/config.py
@@ -1,4 +1,4 @@
-"""What a proxy is told at its start: the JSON of $LB_CONFIG, checked."""
+"""What a proxy is told: the JSON of $LB_CONFIG, checked whole, at its start and at each reload."""
 
 from __future__ import annotations
 
@@ -26,13 +26,16 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: int  # bytes
     known: ServerList
     settings: Settings
     connect_time: float  # seconds for a connection to come up
     probe_time: float  # seconds for a probe to be answered
 
 
-def read_config(path: str, clock_ahead: float) -> Config:
+def read_config(path: str, clock_ahead: float, again: bool = False) -> Config:
+    """again: for a reload; the file then says which server list to follow, $LB_DISCOVERY tells of the start."""
+    environment = {name: value for name, value in os.environ.items() if not again or name != "LB_DISCOVERY"}
     try:
         with open(path, "rb") as file:
             told = orjson.loads(file.read())
@@ -43,12 +46,25 @@
     if not isinstance(told, Mapping):
         raise ConfigError(f"{path}: not an object")
     try:
-        return decode(told, clock_ahead)
+        return decode(told, environment, clock_ahead)
     except (WireError, ListError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-def decode(told: Mapping[str, Any], clock_ahead: float) -> Config:
+def whole(values: Mapping[str, Any], name: str, default: int, least: int) -> int:
+    value = values.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int) or value < least:
+        raise WireError(f"limits: impossible {name} {value!r}")
+    return value
+
+
+def needs_restart(old: Config, new: Config) -> list[str]:
+    """What a reload does not apply and was changed. Seed and known list belong to a start alone."""
+    names = ("name", "listen", "settings", "connect_time", "probe_time")
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
+
+
+def decode(told: Mapping[str, Any], environment: Mapping[str, str], clock_ahead: float) -> Config:
     options = section(told, "settings", needed=True)
     settings, _ = read_settings(options)
     seed = text(told, "seed", "0")
@@ -57,15 +73,13 @@
     except ValueError:
         raise WireError(f"seed: impossible value {seed[:40]!r}") from None
     limits = section(told, "limits")
-    sockets = limits.get("sockets", 1024)
-    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 16:
-        raise WireError(f"limits: impossible sockets {sockets!r}")
     return Config(
-        name=os.environ.get("LB_NAME") or text(told, "name", "proxy"),
-        listen=read_address(os.environ.get("LB_LISTEN") or told.get("listen")),
-        discovery=read_address(os.environ.get("LB_DISCOVERY") or told.get("discovery")),
+        name=environment.get("LB_NAME") or text(told, "name", "proxy"),
+        listen=read_address(environment.get("LB_LISTEN") or told.get("listen")),
+        discovery=read_address(environment.get("LB_DISCOVERY") or told.get("discovery")),
         seed=start,
-        sockets=sockets,
+        sockets=whole(limits, "sockets", 1024, 64),
+        memory=whole(limits, "memory_mb", 64, 16) << 20,
         known=read_list(told.get("known") or {"seq": -1, "hosts": []}, clock_ahead),
         settings=settings,
         connect_time=seconds(section(options, "ceilings"), "connectTimeoutNs", 1.0) or 1.0,
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -13,11 +13,11 @@
 import sys
 import time
 import traceback
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 
 from onyxhollow.facade import Facade
 from onyxhollow.interface import DialEnd, Entry, ListKind
-from onyxhollow.lifecycle.config import Config
+from onyxhollow.lifecycle.config import Config, ConfigError, needs_restart, read_config
 from onyxhollow.lifecycle.log import Log
 from onyxhollow.lifecycle.loop import READ, Loop
 from onyxhollow.memory.buffers import BufferPool
@@ -38,8 +38,9 @@
 
 
 class Proxy:
-    def __init__(self, config: Config, clock_ahead: float, out: int = 1) -> None:
-        self.config = config
+    def __init__(self, config: Config, clock_ahead: float, out: int,
+                 read_again: Callable[[], Config]) -> None:  # fmt: skip
+        self.config, self.read_again = config, read_again
         self.counters, self.pool, self.addresses = Counters(), BufferPool(), Addresses()
         self.log = Log(out, config.name)
         self.loop = Loop(self.failed)
@@ -134,23 +135,41 @@
         for end in (reader, writer):
             end.setblocking(False)
         signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
 
         def told(_: int) -> None:
-            for number in reader.recv(64):
+            for number in sorted(set(reader.recv(64))):  # several SIGHUPs in a row are one reload
                 if number == signal.SIGUSR1:
                     self.print_counters()
+                elif number == signal.SIGHUP:
+                    self.reload()
                 elif not self.stopping:
                     self.stopping = True
                     self.loop.spawn(self.stop())
 
         self.loop.watch(reader.fileno(), READ, told)
         gc.freeze()
-        self.log.event("start", listen=self.config.listen, servers=len(self.config.known.entries))
+        self.log.event("start", listen=self.config.listen, servers=len(self.config.known.entries),
+                       sockets=self.config.sockets, memory=self.config.memory >> 20)  # fmt: skip
         self.loop.run()
         self.print_counters()
 
+    def reload(self) -> None:
+        """SIGHUP: the file is read again, checked whole and taken over in one step, or not at all. Sessions
+        go on, also during a stop, for which new ones are still placed."""
+        self.counters.add("reloads")
+        try:
+            fresh = self.read_again()
+        except ConfigError as error:  # missing, half-written, bad: the old one holds
+            self.counters.add("reloads refused")
+            self.log.event("reload refused", why=str(error)[:200])
+            return
+        left = needs_restart(self.config, fresh)
+        self.log.event("reload", discovery=fresh.discovery, sockets=fresh.sockets, memory=fresh.memory >> 20,
+                       restart_for=left)  # fmt: skip
+        self.discovery.move_to(fresh.discovery)
+
     def print_counters(self) -> None:
         gauges = {"live": len(self.sessions.table), "descriptors": len(self.loop.watched),
                   "log lines dropped": self.log.dropped}  # fmt: skip
@@ -194,11 +213,12 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-def serve(config: Config, clock_ahead: float) -> int:
+def serve(config: Config, path: str, clock_ahead: float) -> int:
     raise_descriptor_limit()
     os.set_blocking(sys.stdout.fileno(), False)
     try:
-        proxy = Proxy(config, clock_ahead, sys.stdout.fileno())
+        proxy = Proxy(config, clock_ahead, sys.stdout.fileno(),
+                      lambda: read_config(path, clock_ahead, again=True))  # fmt: skip
     except OSError as error:
         sys.stderr.write(f"listen {config.listen[0]}:{config.listen[1]}: {error.strerror}\n")
         return 2
--- a/onyxhollow/settings.py
+++ b/onyxhollow/settings.py
@@ -95,8 +95,8 @@
     quotas = extra.get("tenantQuotaConnections") or []
     customers = []
     for place, row in enumerate(rows(options, "tenants")):
-        quota = quotas[place] if isinstance(quotas, list) and place < len(quotas) else 0
-        customers.append(Customer(text(row, "name"), number(row, "share", 0.0), float(quota or 0)))
+        quota = {"quota": quotas[place] if isinstance(quotas, list) and place < len(quotas) else None}
+        customers.append(Customer(text(row, "name"), number(row, "share", 0.0), number(quota, "quota", 0.0)))
     fields = report.get("fields") or []
     if not isinstance(fields, list) or not all(isinstance(name, str) for name in fields):
         raise WireError("setting fields: not a list of names")
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -27,6 +27,10 @@
     """An answer that is not a list of servers."""
 
 
+class SupersededError(Exception):
+    """Another address is to be asked by now."""
+
+
 @dataclass(slots=True)
 class ServerList:
     version: int
@@ -84,7 +88,7 @@
     def reusable(self) -> bool:
         return not self.channel.ended and self.speaker.our_state is h11.IDLE
 
-    def get(self, target: str, until: float) -> Generator[float, None, bytes]:
+    def get(self, target: str, until: float, superseded: Callable[[], bool]) -> Generator[float, None, bytes]:
         headers = [("Host", self.host), ("Accept", "application/json")]
         request = h11.Request(method="GET", target=target, headers=headers)
         for part in (request, h11.EndOfMessage()):
@@ -96,6 +100,8 @@
                 if len(self.channel.inbox):
                     self.speaker.receive_data(self.channel.inbox.rest())
                     self.channel.settle(False)
+                elif superseded():
+                    raise SupersededError
                 elif self.channel.ended:
                     if self.channel.broken:
                         raise ListError("reset")
@@ -130,6 +136,7 @@
         self.addresses, self.told, self.log = addresses, told, log
         self.pushed = self.asked = pushed  # pushed: the module expects to be told without having asked
         self.call: Call | None = None
+        self.next: Address | None = None  # to be followed from now on
         self.task = loop.spawn(self.follow())
 
     def ask(self) -> None:
@@ -137,6 +144,15 @@
         self.asked = True
         self.task.wake()
 
+    def move_to(self, address: Address) -> None:
+        """After a reload the list is another's to tell, which is asked at once. What the old one has written
+        by now counts as told and is still used; what it would say later must not come after the new list."""
+        if self.call is not None and not self.call.channel.ended and not self.call.channel.connecting:
+            self.call.channel.read()
+        self.next = address if address != self.address else None
+        self.asked = self.asked or self.next is not None
+        self.task.wake()
+
     def follow(self) -> Generator[float, None, None]:
         while True:
             while not self.asked:
@@ -144,7 +160,7 @@
             self.asked, first = False, True
             while True:
                 # The first call answers at once: a list that is late to change would look like no list.
-                wait = 0.001 if first else self.wait
+                wait = 0.001 if first or self.next else self.wait
                 if not (yield from self.ask_once(wait)):
                     break
                 first = False
@@ -153,6 +169,10 @@
                 self.asked = True
 
     def ask_once(self, wait: float) -> Generator[float, None, bool]:
+        if self.next is not None:
+            # The versions of one service may mean nothing at the other: it is asked for the whole list.
+            self.hang_up()
+            self.address, self.next, self.version = self.next, None, -1
         target = "/v1/endpoints"
         if self.version >= 0:
             target += f"?index={self.version}&wait={round(wait * 1000)}"
@@ -161,10 +181,13 @@
             if self.call is None or not self.call.reusable:
                 self.hang_up()
                 self.call = Call(self.loop, self.address, self.pool, lambda: self.task.wake())
-            body = yield from self.call.get(target, self.loop.now + wait + ANSWER)
+            until = self.loop.now + wait + ANSWER
+            body = yield from self.call.get(target, until, lambda: self.next is not None)
             news = read_list(orjson.loads(body), self.clock_ahead)
-        except (ListError, OSError, ValueError, h11.ProtocolError) as error:
+        except (SupersededError, ListError, OSError, ValueError, h11.ProtocolError) as error:
             self.hang_up()
+            if self.next is not None:
+                return True  # it failed because it is left, or just before: the new one is asked at once
             self.counters.add("list failures")
             self.log("list failed", why=str(error)[:200], version=self.version)
             self.version = -1 if isinstance(error, ValueError) else self.version
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -128,13 +128,14 @@
         rows = [self.row(name) for name in servers] if known else []
         settings = replace(PLAIN, **{"most_dials": 2, "watched": True, **changes})
         told = {"seq": 7, "whole": True, "hosts": rows}
-        config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", self.list.port), seed=5, sockets=sockets,
-                        known=read_list(told, 0.0), settings=settings, connect_time=0.25,
+        self.config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", self.list.port), seed=5, sockets=sockets,
+                        memory=64 << 20, known=read_list(told, 0.0), settings=settings, connect_time=0.25,
                         probe_time=0.3)  # fmt: skip
         reader, writer = os.pipe()
         os.set_blocking(writer, False)
         os.set_blocking(reader, False)
-        self.log_reader, self.proxy = reader, Proxy(config, time.time() - time.monotonic(), writer)
+        ahead = time.time() - time.monotonic()
+        self.log_reader, self.proxy = reader, Proxy(self.config, ahead, writer, lambda: self.config)
         self.counts = self.proxy.counters.counts
 
     def row(self, name, health="active", **more):
@@ -176,8 +177,13 @@
         first = self.until(lambda: next(filter(None, (toy.asked() for toy in self.toys.values())), None))
         return first, next(toy for toy in self.toys.values() if first not in toy.peers)
 
-    def answer_list(self, body, status=b"200 OK", count=1):
-        peer = self.until(lambda: self.list.asked(count))
+    def reload_to(self, toy):
+        """The file names another server list, and SIGHUP comes."""
+        self.config = replace(self.config, discovery=("127.0.0.1", toy.port))
+        self.proxy.reload()
+
+    def answer_list(self, body, status=b"200 OK", count=1, toy=None):
+        peer = self.until(lambda: (toy or self.list).asked(count))
         peer.got = b""
         peer.say(b"HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
         return peer
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -1,5 +1,6 @@
 """What the proxy does on sockets, each story told on loopback with toy peers."""
 
+import contextlib
 import json
 import os
 import resource
@@ -11,10 +12,11 @@
 from dataclasses import replace
 
 import pytest
-from conftest import CALLS
+from conftest import CALLS, Toy
 
 from onyxhollow.__main__ import main
 from onyxhollow.interface import Repeat
+from onyxhollow.lifecycle.config import ConfigError
 from onyxhollow.memory.buffers import BufferPool, LineBuffer, LongLineError
 from onyxhollow.memory.counters import Counters
 from onyxhollow.wire import sessions
@@ -381,6 +383,59 @@
     proxy.until(lambda: proxy.list.asked(2))
 
 
+def whole(proxy, seq, *rows):
+    return json.dumps({"seq": seq, "whole": True, "hosts": [proxy.row(*row) for row in rows]}).encode()
+
+
+def test_after_a_reload_the_new_list_is_asked_whole_and_the_old_ones_late_answer_is_not_heard(loopback):
+    proxy, new = loopback("ab"), Toy()
+    proxy.answer_list(LIST)
+    old = proxy.until(lambda: b"index=8&wait=5000" in proxy.list.peers[0].read() and proxy.list.peers[0])
+    client = proxy.client()
+    began = time.monotonic()
+    proxy.reload_to(new)
+    peer = proxy.until(lambda: new.asked())
+    assert time.monotonic() - began < 0.3 and peer.got.startswith(b"GET /v1/endpoints HTTP/1.1\r\n")
+    with contextlib.suppress(OSError):
+        old.say(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+    proxy.answer_list(whole(proxy, 2, ("a",), ("b", "leaving")), toy=new)
+    proxy.until(lambda: peer.read().startswith(b"GET /v1/endpoints?index=2&wait=5000"))
+    balancer = proxy.proxy.facade.balancer
+    assert [s.name for s in balancer.fleet] == ["a"] and not proxy.counts["list failures"]
+    assert old.read() is not None and old.end and not client.end
+
+
+def test_what_the_old_list_had_said_in_full_before_the_reload_is_used(loopback):
+    # Written to this proxy it counts as told, whatever becomes of the new address.
+    proxy, nobody = loopback(), Toy()
+    proxy.answer_list(LIST)
+    old = proxy.until(lambda: b"index=8&wait=5000" in proxy.list.peers[0].read() and proxy.list.peers[0])
+    body = json.dumps({"seq": 9, "whole": False, "hosts": [proxy.row("a", "leaving")]}).encode()
+    old.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+    time.sleep(0.02)
+    nobody.sock.close()
+    proxy.reload_to(nobody)
+    proxy.until(lambda: proxy.counts["list failures"] >= 2)  # unreachable: asked again
+    assert not proxy.proxy.facade.balancer.fleet and len(proxy.proxy.facade.balancer.servers) == 1
+
+
+def test_reloads_in_a_row_end_at_the_last_address_and_a_bad_file_changes_nothing(loopback, monkeypatch):
+    proxy, toys = loopback(), [Toy(), Toy(), Toy()]
+    for toy in toys:
+        proxy.reload_to(toy)
+    proxy.until(lambda: toys[2].asked())
+    assert not toys[0].asked() and not toys[1].asked() and proxy.counts["reloads"] == 3
+
+    def bad():
+        raise ConfigError("config.json: not JSON")
+
+    proxy.proxy.read_again = bad
+    proxy.proxy.reload()
+    proxy.answer_list(LIST, toy=toys[2])
+    proxy.until(lambda: b"index=8" in toys[2].peers[0].read())
+    assert proxy.counts["reloads refused"] == 1 and proxy.standing()
+
+
 def test_a_probe_brings_the_load_and_its_connection_goes_with_its_server(loopback):
     proxy = loopback(probes=True, probe_price=0.01, load_field="x0")
     server = proxy.until(lambda: proxy.toys["a"].asked())
@@ -429,7 +484,7 @@
     assert not proxy.proxy.facade.balancer.servers["a"].connections and not proxy.counts["failures"]
 
 
-def test_the_program_stops_on_sigterm_with_its_counters_and_without_an_error(tmp_path):
+def test_the_program_reloads_on_sighup_and_stops_on_sigterm_without_an_error(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
     settings = {"listeners": [{"name": "calls", "semantics": "read_like", "handshakeTargetNs": 300000000,
@@ -438,7 +493,8 @@
     path = tmp_path / "config.json"
     path.write_text(json.dumps(told))
     program = subprocess.Popen([sys.executable, "-O", "-m", "onyxhollow", "serve", "--config", str(path)],
-                               stdout=subprocess.PIPE, stderr=subprocess.PIPE)  # fmt: skip
+                               stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+                               env={**os.environ, "LB_DISCOVERY": "127.0.0.1:9"})  # fmt: skip
     try:
         assert json.loads(program.stdout.readline())["event"] == "start"
         with socket.create_connection(("127.0.0.1", port)) as client:
@@ -448,7 +504,17 @@
         while (line := json.loads(program.stdout.readline()))["event"] != "counters":
             pass
         assert line["pings"] == 1
+        path.write_text("{")
+        program.send_signal(signal.SIGHUP)
+        while (line := json.loads(program.stdout.readline()))["event"] != "reload refused":
+            pass
+        path.write_text(json.dumps({**told, "discovery": "127.0.0.1:10", "listen": "127.0.0.1:1"}))
+        program.send_signal(signal.SIGHUP)
+        while (line := json.loads(program.stdout.readline()))["event"] != "reload":
+            pass
+        assert line["discovery"] == ["127.0.0.1", 10] and line["restart_for"] == ["listen"]
         program.send_signal(signal.SIGTERM)
+        program.send_signal(signal.SIGHUP)  # a stop is not disturbed
         out, errors = program.communicate(timeout=5)
     finally:
         program.kill()
