Sessions that found no room go to a warm arrival beyond its pace

At fault: eased() in policy.py paced warm arrivals like cold ones also while sessions waited. Probes and the age of servers that started are in the log, for what the proxy believes of load.

--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -94,6 +94,7 @@
             self.failed("list", error)
 
     def probe_told(self, server: str, end: DialEnd, took: float, load: float | None) -> None:
+        self.log.event("probe", server=server, end=end.value, took=round(took, 4), load=load)
         self.facade.report_probe(server, end, took, load)
 
     def ticks(self) -> Generator[float, None, None]:
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -124,7 +124,7 @@
         self.group, self.give_up, self.load = group, give_up, load
         self.server: Server | None = None
         self.tried, self.drawn, self.asks = list[Server](), list[Server](), 0
-        self.dialling = self.standing = self.answered = self.placed = False
+        self.dialling = self.standing = self.answered = self.placed = self.waited = False
         self.hold_until, self.news_at, self.may_run_since = (balancer.host.now + give_up) / 2, -math.inf, 0.0
         self.may_run_at: Server | None = None  # the first server on which this session may have run
 
@@ -397,7 +397,7 @@
             self.host.move(sess.token)
         self.later(1.0, lambda: self.step_hand_off(source, pace))
 
-    def eased(self, server: Server) -> bool:
+    def eased(self, server: Server, sess: Session) -> bool:
         """Whether a server that arrives may get one more: the staged pace, and the cold budget."""
         if (pace := server.arrival) is None:
             return True
@@ -410,7 +410,8 @@
             others = [s for s in self.working if not s.arrival]
             allowed = pace.allowance(self.latency(others), server.latency(now))
             pace.at, pace.credit = now, pace.credit or max(1, allowed)
-        return pace.credit > 0 and self.budget.grow(server, self.fill, now) >= 1
+        due = pace.credit > 0 or sess.waited and not self.budget.cold(server, now)  # else refused beside it
+        return due and self.budget.grow(server, self.fill, now) >= 1
 
     def weight(self, server: Server, group: Hashable, home: Server | None) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
@@ -433,7 +434,7 @@
 
     def pick(self, sess: Session) -> Server | None:
         def open_to(servers: Iterable[Server]) -> list[Server]:
-            return [s for s in servers if self.well(s, sess) and self.eased(s)]
+            return [s for s in servers if self.well(s, sess) and self.eased(s, sess)]
 
         home = self.home(sess)
         if home is None and sess.group is not None and self.share_groups and self.sparse:
@@ -448,8 +449,7 @@
         arriving = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
         rest = [s for s in pool if s not in arriving]
         sess.drawn = open_to(sess.drawn) or self.rng.sample(rest, min(2, len(rest)))
-        candidates = open_to([home]) if home and home not in sess.tried else []
-        candidates += arriving + sess.drawn
+        candidates = (open_to([home]) if home and home not in sess.tried else []) + arriving + sess.drawn
         return min(candidates, key=lambda s: self.weight(s, sess.group, home), default=None)
 
     def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
@@ -478,12 +478,13 @@
         server = None if spent else self.pick(sess)
         if server is None or self.asking(sess, server, now):
             if not spent and now < sess.hold_until:
+                sess.waited = True
                 self.waiting.append(sess)  # all servers are cold or strained, or the list is empty
             else:
                 self.end(sess)
             return
         if server.arrival:
-            server.arrival.credit -= 1
+            server.arrival.credit = max(0, server.arrival.credit - 1)
             server.arrival.moved += 1
             self.budget.tokens[server] = (self.budget.grow(server, self.fill, now) - 1.0, now)
         else:
@@ -545,8 +546,7 @@
         self.blame(server, 0.3 if sess.standing else 0.5 if end is DialEnd.FULL else 1.0)
 
     def blame(self, server: Server, amount: float) -> None:
-        now = self.host.now
-        server.distrust, server.distrust_at = (score := server.score(now) + amount), now
+        server.distrust, server.distrust_at = (score := server.score(self.host.now) + amount), self.host.now
         if score > self.bar:
             self.look()
         if score >= 2 * DISTRUSTED and score > self.bar:
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -196,13 +196,16 @@
         for name, address in news.addresses.items():
             self.addresses.learn(name, address)
         if news.entries or news.whole or news.version != self.version:
-            rows = [f"{e.name} {e.readiness.value}" for e in news.entries]
+            rows = [f"{e.name} {e.readiness.value}" + self.age(e) for e in news.entries]
             self.log("list", version=news.version, whole=news.whole, rows=rows[:24])
         self.version = news.version
         self.asked = False
         self.told(ListKind.FULL if news.whole else ListKind.CHANGES, news.entries)
         return True
 
+    def age(self, entry: Entry) -> str:
+        return "" if entry.started is None else f", started {self.loop.now - entry.started:.1f} s ago"
+
     def hang_up(self) -> None:
         if self.call is not None:
             self.call.channel.close()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -117,6 +117,22 @@
     assert host.balancer.servers["d"].arrival is None and placed(host)["d"] >= 30
 
 
+def test_those_that_found_no_room_go_to_a_warm_arrival_beyond_its_pace_and_not_to_a_cold_one(start):
+    # Deploys whose successors were warm: sessions waited a second and were refused beside idle servers.
+    for started, least, most in ((None, 12, 12), (999.9, 0, 3)):
+        host = start()
+        host.servers("a")
+        for _ in range(40):
+            host.take()
+        host.wait(0.6)
+        host.loads(a=0.7)
+        waiting = [host.take(stands=False) for _ in range(12)]
+        host.wait(0.1)
+        host.servers("b", kind=ListKind.CHANGES, started=started)
+        host.wait(0.2)
+        assert least <= sum(sess.dialling for sess in waiting) <= most
+
+
 def test_all_servers_cold_sessions_are_held_and_then_refused_at_half_time(host):
     host.servers("a")
     host.servers("a", kind=ListKind.CHANGES, started=host.now)
