Hand-offs of servers in service take connections from before the start too

Most of what it held was from before the start, and step_hand_off() in policy.py never moves those. Checked: reports arrive every 2 s for each server, a third of that is the servers' own delay; echoes stay at 0.2 ms however loaded. Kept: only for sources in service, and only while over half of the working set has room. A drain still moves own connections only, as the design record says.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -389,7 +389,8 @@
         delay = source.delay.fresh(now)
         receivers = [s for s in self.working if s is not source and not s.leaving and self.well(s)]
         allowed = pace.allowance(pace.latency if delay is None else delay, self.latency(receivers))
-        own = [s for s in source.connections if s.standing and s.placed]
+        all_go = source.readiness is Readiness.IN_SERVICE and self.open_share > 0.5  # they earn nothing there
+        own = [s for s in source.connections if s.standing and (s.placed or all_go)]
         own.sort(key=lambda s: (math.inf if s.load is None else s.load, s.news_at))  # idle first
         for sess in own[:allowed]:
             sess.standing = False
@@ -461,7 +462,7 @@
 
     def adopt(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
               load: float | None, name: str) -> Session | None:  # fmt: skip
-        """A connection that stood before this balancer started: counted, but never moved by it."""
+        """A connection that stood before this balancer started: counted, but not moved off a drain."""
         if (server := self.servers.get(name)) is None:
             return None
         sess = Session(self, token, listener, customer, group, math.inf, load)
@@ -564,11 +565,10 @@
         self.later(1.0 / min(1.0 / TICK, max(rate, 0.2)), self.probe_round)
 
     def probed(self, name: str, end: DialEnd, took: float, load: float | None) -> None:
-        if (server := self.servers.get(name)) is None:
-            return
-        if end is DialEnd.OK and load is not None:
+        server = self.servers.get(name)
+        if server and end is DialEnd.OK and load is not None:
             self.load_told(server, load)
-        elif end not in (DialEnd.OK, DialEnd.FULL):
+        elif server and end not in (DialEnd.OK, DialEnd.FULL):
             self.blame(server, 1.0)
         if self.sparse:
             self.serve()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -117,6 +117,23 @@
     assert host.balancer.servers["d"].arrival is None and placed(host)["d"] >= 30
 
 
+def test_an_overfull_server_gives_up_those_from_before_the_start_too_while_most_others_have_room(start):
+    # Nearly all of its connections were of that kind: it stayed overfull until it shed or broke.
+    for loads, gone in (({"b": 0.3, "c": 0.3}, True), ({"b": 0.8, "c": 0.8}, False), (None, False)):
+        host = start()
+        host.servers("a", "b", "c")
+        for token in range(20):
+            host.balancer.adopt(token, CALLS, None, None, 0.0, "a")
+        host.loads(**loads or {})
+        host.wait(0.6)
+        if loads:
+            host.loads(a=1.3)
+        else:
+            host.servers("a", kind=ListKind.CHANGES, readiness=Readiness.DRAINING)  # as in the design
+        host.wait(1.5)
+        assert bool(host.asked("move")) is gone
+
+
 def test_those_that_found_no_room_go_to_a_warm_arrival_beyond_its_pace_and_not_to_a_cold_one(start):
     # Deploys whose successors were warm: sessions waited a second and were refused beside idle servers.
     for started, least, most in ((None, 12, 12), (999.9, 0, 3)):
