--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -389,9 +389,9 @@
         delay = source.delay.fresh(now)
         receivers = [s for s in self.working if s is not source and not s.leaving and self.well(s)]
         allowed = pace.allowance(pace.latency if delay is None else delay, self.latency(receivers))
-        all_go = source.readiness is Readiness.IN_SERVICE and self.open_share > 0.5  # they earn nothing there
-        own = [s for s in source.connections if s.standing and (s.placed or all_go)]
-        own.sort(key=lambda s: (math.inf if s.load is None else s.load, s.news_at))  # idle first
+        all_go = source.readiness is Readiness.IN_SERVICE and self.open_share > 0.5 and not self.sparse
+        own = [s for s in source.connections if s.standing and (s.placed or all_go)]  # or earn nothing there
+        own.sort(key=lambda s: (not s.placed, math.inf if s.load is None else s.load, s.news_at))  # own, idle
         for sess in own[:allowed]:
             sess.standing = False
             source.release(sess)
