--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -235,6 +235,7 @@
 
 
 def serve(config: Config, path: str, clock_ahead: float) -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before the loop runs must not end it
     raise_descriptor_limit()
     os.set_blocking(sys.stdout.fileno(), False)
     try:
