One receive, one check for whole numbers, no second flag for a client cut off

Found on reading the change again; behaviour as before. - Channel.read and throw_away each had the same handling of a read that fails: both call receive now. - accept() wrote out the errors that channel.py names OUR_OWN, and asked for room in a nested check. - limits had their own check for whole numbers beside benchlink's: it stands in settings.py, for both.

--- a/onyxhollow/benchlink/link.py
+++ b/onyxhollow/benchlink/link.py
@@ -9,7 +9,7 @@
 
 from onyxhollow.interface import DialEnd, Entry, ListKind, Readiness
 from onyxhollow.policy import Balancer, Session
-from onyxhollow.settings import WireError, read_settings
+from onyxhollow.settings import WireError, read_settings, whole
 
 ENDS = {
     0: DialEnd.OK,
@@ -36,12 +36,6 @@
 COST_KNOWN = 1
 
 
-def whole(value: Any, what: str, low: int = 0) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < low:
-        raise WireError(f"{what}: impossible value {value!r}")
-    return value
-
-
 def word(value: Any, what: str) -> str:
     if not isinstance(value, str) or not value:
         raise WireError(f"{what}: impossible value {value!r}")
--- a/onyxhollow/lifecycle/config.py
+++ b/onyxhollow/lifecycle/config.py
@@ -11,7 +11,7 @@
 
 from onyxhollow.interface import Settings
 from onyxhollow.memory.tables import Address
-from onyxhollow.settings import WireError, read_settings, rows, seconds, section, text
+from onyxhollow.settings import WireError, read_settings, rows, seconds, section, text, whole
 from onyxhollow.wire.discovery import ListError, ServerList, read_address, read_list
 
 
@@ -51,13 +51,6 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
-def whole(values: Mapping[str, Any], name: str, default: int, least: int) -> int:
-    value = values.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int) or value < least:
-        raise WireError(f"limits: impossible {name} {value!r}")
-    return value
-
-
 def needs_restart(old: Config, new: Config) -> list[str]:
     """What a reload does not apply and was changed. Seed and known list belong to a start alone."""
     names = ("name", "listen", "settings", "connect_time", "probe_time")
@@ -78,8 +71,8 @@
         listen=read_address(environment.get("LB_LISTEN") or told.get("listen")),
         discovery=read_address(environment.get("LB_DISCOVERY") or told.get("discovery")),
         seed=start,
-        sockets=whole(limits, "sockets", 1024, 64),
-        memory=whole(limits, "memory_mb", 64, 16) << 20,
+        sockets=whole(limits.get("sockets", 1024), "limits: sockets", 64),
+        memory=whole(limits.get("memory_mb", 64), "limits: memory_mb", 16) << 20,
         known=read_list(told.get("known") or {"seq": -1, "hosts": []}, clock_ahead),
         settings=settings,
         connect_time=seconds(section(options, "ceilings"), "connectTimeoutNs", 1.0) or 1.0,
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import gc
 import math
 import os
@@ -24,7 +23,7 @@
 from onyxhollow.memory.buffers import BufferPool
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Addresses
-from onyxhollow.wire.channel import listen_socket
+from onyxhollow.wire.channel import OUR_OWN, listen_socket
 from onyxhollow.wire.discovery import Discovery
 from onyxhollow.wire.probes import Probes
 from onyxhollow.wire.sessions import Sessions
@@ -110,16 +109,17 @@
 
     def accept(self, _: int) -> None:
         for _ in range(ACCEPTS):
-            if self.pool.open >= self.accepts_to and not self.sessions.make_room():
-                if self.pool.open >= self.accepts_to:
-                    self.rest("accepts put off for want of room")
-                    return
+            if self.pool.open >= self.accepts_to:
+                self.sessions.make_room()
+            if self.pool.open >= self.accepts_to:
+                self.rest("accepts put off for want of room")
+                return
             try:
                 sock, _peer = self.listener.accept()
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                if error.errno in OUR_OWN:
                     self.rest("accepts without a descriptor")
                     return
                 continue  # that connection has gone already
--- a/onyxhollow/settings.py
+++ b/onyxhollow/settings.py
@@ -18,6 +18,12 @@
     """A line that does not follow the wire."""
 
 
+def whole(value: Any, what: str, low: int = 0) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < low:
+        raise WireError(f"{what}: impossible value {value!r}")
+    return value
+
+
 def number(values: Mapping[str, Any], name: str, default: float | None = None, low: float = 0.0) -> float:
     value = values.get(name)
     if value is None:
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -79,30 +79,25 @@
         if not space:
             self.paused = True
             return
+        self.inbox.filled(self.receive(space))
+
+    def receive(self, space: memoryview | bytearray, flags: int = 0) -> int:
+        """How many bytes have come: 0 also at the end and after a reset."""
         try:
-            count = self.sock.recv_into(space)
+            count = self.sock.recv_into(space, len(space), flags)
         except (BlockingIOError, InterruptedError):
-            return
+            return 0
         except OSError:
             self.ended = self.broken = True
             self.out.clear()
-            return
-        if count:
-            self.inbox.filled(count)
-        else:
+            return 0
+        if not count:
             self.ended = True
+        return count
 
     def throw_away(self) -> None:
         for _ in range(THROWS):
-            try:
-                count = self.sock.recv_into(THROWN, len(THROWN), socket.MSG_TRUNC)  # TCP: not even copied
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError:
-                self.ended = self.broken = True
-                return
-            if not count:
-                self.ended = True
+            if not self.receive(THROWN, socket.MSG_TRUNC):  # TCP: not even copied
                 return
             self.came = self.loop.now
 
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -27,10 +27,6 @@
     """An answer that is not a list of servers."""
 
 
-class SupersededError(Exception):
-    """Another address is to be asked by now."""
-
-
 @dataclass(slots=True)
 class ServerList:
     version: int
@@ -101,7 +97,7 @@
                     self.speaker.receive_data(self.channel.inbox.rest())
                     self.channel.settle(False)
                 elif superseded():
-                    raise SupersededError
+                    raise ListError("left for another address")
                 elif self.channel.ended:
                     if self.channel.broken:
                         raise ListError("reset")
@@ -184,7 +180,7 @@
             until = self.loop.now + wait + ANSWER
             body = yield from self.call.get(target, until, lambda: self.next is not None)
             news = read_list(orjson.loads(body), self.clock_ahead)
-        except (SupersededError, ListError, OSError, ValueError, h11.ProtocolError) as error:
+        except (ListError, OSError, ValueError, h11.ProtocolError) as error:
             self.hang_up()
             if self.next is not None:
                 return True  # it failed because it is left, or just before: the new one is asked at once
--- a/onyxhollow/wire/messages.py
+++ b/onyxhollow/wire/messages.py
@@ -38,11 +38,10 @@
         return head + b" " + b",".join(rows) + b"\r\n"
 
 
-def read_opening(line: Line) -> Opening:
+def read_opening(line: bytes) -> Opening:
     """All of the line is checked before any of it is used: a server would answer what it can't read with an
     error, and be held to have failed."""
-    raw = bytes(line)
-    if (parts := OPENING.fullmatch(raw)) is None:
+    if (parts := OPENING.fullmatch(line)) is None:
         raise MalformedError("not OPEN with an id, a key and a list")
     name, _, told = (part.decode("ascii") for part in parts.groups())
     values: dict[str, str] = {}
@@ -54,7 +53,7 @@
     if not values.get("c") or ("d" not in values and "at" not in values):
         raise MalformedError("list: c or d is missing")
     return Opening(
-        line=raw,
+        line=line,
         name=name,
         listener=values["c"],
         customer=values.get("t", ""),
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -117,7 +117,6 @@
         self.handle: Handle | None = None
         self.opening: Opening | None = None
         self.stopping = self.open = False  # open: UP has been passed on
-        self.dismissed = False  # cut off for what it sent while it was to wait
         self.dials, self.name, self.end = 0, "", ""
         self.out = deque[Moment]()  # when lines went to the server that it has not brought back
         self.heard = self.slowest = 0.0
@@ -133,16 +132,15 @@
         return self.absent() or self.stopping and not self.open and self.handle is not None
 
     def absent(self) -> bool:
-        """Whether its client has left; or sent more while it was to wait for UP, and was cut off for it."""
-        if not self.dismissed and not self.open and not self.end and len(self.client.inbox):
-            self.dismissed = True
+        """Before UP: whether its client has left; or sent more while it was to wait, and is cut off."""
+        if not self.end and len(self.client.inbox):
             self.dismiss("bytes before UP", self.client.inbox.rest())
-        return self.dismissed or self.client.ended
+        return bool(self.end) or self.client.ended
 
     def dismiss(self, why: str, line: bytes) -> None:
         """What can't be read or used is told so at once, whatever else waits on that connection."""
         self.shared.malformed(why, line)
-        self.end = self.end or "malformed"
+        self.end = "malformed"
         self.client.write(b"ERR\r\n")
         self.client.finish(ERROR_READ)
 
@@ -280,7 +278,7 @@
     def leave(self, handle: Handle) -> None:
         """The client has gone before it was answered."""
         handle.report_gone()
-        if not self.dismissed:
+        if not self.end:
             self.counters.add("clients gone before an answer")
             self.end = "client gone"
             self.client.finish()
@@ -326,7 +324,7 @@
             if self.open:
                 break
             if self.absent() or self.stopping or self.loop.now >= min(until, self.shared.adopts_until):
-                if not self.dismissed:
+                if not self.end:
                     self.answer(False)
                 return
             yield from self.loop.sleep(ADOPT_AGAIN)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -18,6 +18,7 @@
 from onyxhollow.__main__ import main
 from onyxhollow.interface import Repeat
 from onyxhollow.lifecycle.config import ConfigError
+from onyxhollow.lifecycle.proxy import OWN
 from onyxhollow.memory.buffers import BufferPool, LineBuffer, LongLineError
 from onyxhollow.memory.counters import Counters
 from onyxhollow.wire import sessions
@@ -350,7 +351,7 @@
 
 
 def test_half_a_line_or_a_line_that_may_be_on_its_way_is_not_cut_off_to_make_room(loopback, monkeypatch):
-    proxy = loopback(sockets=12 + 8)  # room for seven, the list's connection among them
+    proxy = loopback(sockets=OWN + 8)  # room for seven, the list's connection among them
     half = proxy.client(b"OPEN 1 2 c=calls,")
     proxy.idle(0.02)
     young = [proxy.client() for _ in range(6)]
@@ -378,7 +379,7 @@
 
 def test_the_front_is_answered_and_idle_connections_make_room_for_sessions(loopback, monkeypatch):
     monkeypatch.setattr(sessions, "YOUNG", 0.0)
-    proxy = loopback(sockets=12 + 10)
+    proxy = loopback(sockets=OWN + 10)
     idle = []
     for _ in range(12):
         idle.append(proxy.client(b"PING\r\n"))
@@ -389,7 +390,7 @@
 
 
 def test_without_descriptors_to_spare_a_session_is_refused_and_no_server_blamed(loopback):
-    proxy = loopback(sockets=12 + 16)
+    proxy = loopback(sockets=OWN + 16)
     proxy.answer_list(LIST)
     standing = [proxy.standing() for _ in range(6)]
     client = proxy.open()
@@ -525,7 +526,7 @@
     assert not proxy.proxy.facade.balancer.fleet and len(proxy.proxy.facade.balancer.servers) == 1
 
 
-def test_reloads_in_a_row_end_at_the_last_address_and_a_bad_file_changes_nothing(loopback, monkeypatch):
+def test_reloads_in_a_row_end_at_the_last_address_and_a_bad_file_changes_nothing(loopback):
     proxy, toys = loopback(), [Toy(), Toy(), Toy()]
     for toy in toys:
         proxy.reload_to(toy)
