--- a/onyxhollow/__main__.py
+++ b/onyxhollow/__main__.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check, version."""
+"""The command line: serve, check, version, lab."""
 
 from __future__ import annotations
 
@@ -16,10 +16,19 @@
         command = commands.add_parser(name, help=does)
         command.add_argument("--config", default=os.environ.get("LB_CONFIG"), help="JSON; else $LB_CONFIG")
     commands.add_parser("version", help="print the version")
+    lab = commands.add_parser("lab", help="play days on a model of fleet and clients", add_help=False)
+    lab.add_argument("words", nargs=argparse.REMAINDER)
     told = parser.parse_args(words)
     if told.command == "version":
         print(__version__)
         return 0
+    if told.command == "lab":
+        try:
+            from onyxhollow.lab.cli import main as play
+        except ImportError as error:  # its libraries are an extra: serve needs none of them
+            sys.stderr.write(f"onyxhollow: the lab needs {error.name}: pip install 'onyxhollow[lab]'\n")
+            return 2
+        return play(told.words)
 
     from onyxhollow.lifecycle.config import ConfigError, read_config
     from onyxhollow.lifecycle.proxy import clock_ahead, serve
--- /dev/null
+++ b/onyxhollow/lab/baselines.py
@@ -0,0 +1,308 @@
+"""Policies to compare with, behind the module's own door. They keep the four rules and are else plain.
+
+Drains: connections placed are moved evenly over a few seconds. Cold servers: each balancer keeps its
+share of the budget, by the module's own ColdBudget. TrueState sees the true state of all servers; no real
+policy can."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Hashable, Iterable
+from random import Random
+from typing import TYPE_CHECKING
+
+from onyxhollow.interface import (
+    Customer,
+    DialEnd,
+    Entry,
+    Host,
+    Listener,
+    ListKind,
+    Readiness,
+    Repeat,
+    Scope,
+    Settings,
+)
+from onyxhollow.policy import TICK, ColdBudget, draw
+
+if TYPE_CHECKING:
+    from onyxhollow.lab.world import servers
+    from onyxhollow.lab.world.world import World
+
+DRAIN_OVER = 3.0  # seconds over which the connections of a draining server are moved
+ASK_EVERY = 0.5  # seconds until the list is asked again after a failure
+HOLD = 0.25  # seconds between looks at what waits for a server
+
+
+class Known:
+    """A server as the list tells it."""
+
+    def __init__(self, entry: Entry) -> None:
+        self.name, self.open = entry.name, dict[Plain.Session, None]()
+        self.learn(entry)
+
+    def learn(self, entry: Entry) -> None:
+        self.readiness, self.size, self.started = entry.readiness, entry.size, entry.started
+        self.zone, self.cell = entry.zone, entry.cell
+
+
+class Plain:
+    """What all baselines share; choose is theirs."""
+
+    class Session:
+        def __init__(
+            self,
+            balancer: Plain,
+            token: Hashable,
+            listener: Listener,
+            customer: Customer | None,
+            give_up: float,
+        ) -> None:
+            self.balancer, self.token, self.listener, self.customer = balancer, token, listener, customer
+            self.give_up = give_up
+            self.tried: list[Known] = []
+            self.dialling = self.standing = self.answered = False
+            self.ran_at: Known | None = None
+            self.ran_since = 0.0
+            self.server: Known | None = None
+
+        def accepted(self, took: float) -> None:
+            self.standing = self.answered = True
+
+        def load_news(self, load: float) -> None: ...
+
+        def delay_news(self, delay: float) -> None: ...
+
+        def client_gone(self) -> None:
+            self.answered = True
+
+        def dial_ended(self, end: DialEnd, final: bool, took: float, load: float | None = None) -> None:
+            if not self.dialling or self.server is None:
+                return
+            self.dialling, stood, self.standing = False, self.standing, False
+            self.server.open.pop(self, None)
+            if not end.never_ran and not stood and self.ran_at is None:
+                self.ran_at = self.server
+            if final or stood:
+                self.answered = True
+            elif not self.answered:
+                self.balancer.dial(self)
+
+    def __init__(self, host: Host, settings: Settings, seed: int, world: World) -> None:
+        self.host, self.settings, self.rng, self.world = host, settings, Random(seed), world
+        self.servers: dict[str, Known] = {}
+        self.lost, self.ask_at = settings.watched, host.now + 0.05 * self.rng.random()
+        self.waiting: list[Plain.Session] = []
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.counter, self.look_at = 0, 0.0
+        self.budget = ColdBudget(
+            settings.cold_share,
+            settings.cold_time,
+            settings.fall_multiple,
+            settings.me / settings.balancers,
+            host.now,
+        )
+        host.wake_at(host.now + TICK)
+
+    # the module's door
+
+    def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
+        if kind is ListKind.FAILED:
+            self.lost, self.ask_at = True, self.host.now + ASK_EVERY * (0.5 + self.rng.random())
+            return
+        if kind is not ListKind.CACHED:
+            self.lost = False
+        absent = set(self.servers) if kind is not ListKind.CHANGES else set()
+        for entry in entries:
+            absent.discard(entry.name)
+            known = self.servers.get(entry.name)
+            news = known is None or known.readiness is Readiness.IN_SERVICE
+            known = known or self.servers.setdefault(entry.name, Known(entry))
+            if entry.started != known.started:
+                self.budget.tokens[known] = (draw(known.name, self.settings.me), self.host.now)  # type: ignore[index]
+            known.learn(entry)
+            if entry.readiness is Readiness.DRAINING and news:
+                self.drain(known)
+        for name in sorted(absent):
+            self.servers[name].readiness = Readiness.GONE
+
+    def take(
+        self,
+        token: Hashable,
+        listener: Listener,
+        customer: Customer | None,
+        group: Hashable,
+        time_left: float,
+        load: float | None,
+    ) -> Plain.Session:
+        sess = Plain.Session(self, token, listener, customer, self.host.now + time_left)
+        self.budget.arrived(self.host.now)
+        self.dial(sess)
+        return sess
+
+    def adopt(
+        self,
+        token: Hashable,
+        listener: Listener,
+        customer: Customer | None,
+        group: Hashable,
+        load: float | None,
+        name: str,
+    ) -> Plain.Session | None:
+        if (server := self.servers.get(name)) is None:
+            return None
+        sess = Plain.Session(self, token, listener, customer, float("inf"))
+        sess.server, sess.dialling, sess.standing, sess.answered = server, True, True, True
+        server.open[sess] = None
+        return sess
+
+    def probed(self, name: str, end: DialEnd, took: float, load: float | None) -> None: ...
+
+    def tick(self) -> None:
+        now = self.host.now
+        if self.lost and now >= self.ask_at:
+            self.ask_at = now + self.settings.ask_within / 2
+            self.host.watch()
+        while self.due and self.due[0][0] <= now:
+            heapq.heappop(self.due)[2]()
+        if self.waiting and now >= self.look_at:
+            self.look_at = now + HOLD
+            waiting, self.waiting = self.waiting, []
+            for sess in waiting:
+                self.dial(sess)
+        self.host.wake_at(now + TICK)
+
+    # within
+
+    def drain(self, server: Known) -> None:
+        moving = [sess for sess in server.open if sess.standing]
+        for place, sess in enumerate(moving):
+            self.counter += 1
+            when = self.host.now + DRAIN_OVER * (place + 1) / len(moving)
+            heapq.heappush(self.due, (when, self.counter, lambda sess=sess: self.move(sess)))  # type: ignore[misc]
+
+    def move(self, sess: Plain.Session) -> None:
+        if sess.standing and sess.server is not None:
+            sess.standing = False
+            sess.server.open.pop(sess, None)
+            self.host.move(sess.token)
+
+    def allowed(self, sess: Plain.Session, server: Known) -> bool:
+        """Rules 2 and 3, and the cold budget."""
+        now, listener, first = self.host.now, sess.listener, sess.ran_at
+        if server.readiness is not Readiness.IN_SERVICE:
+            return False
+        if first is not None and listener.repeat is not Repeat.REPEATABLE:
+            if listener.repeat is Repeat.ONCE_ONLY or now - sess.ran_since >= listener.window - TICK:
+                return False
+            same = {
+                Scope.ALL: True,
+                Scope.ZONE: server.zone == first.zone,
+                Scope.CELL: server.cell == first.cell,
+            }
+            if not same[listener.scope]:
+                return False
+        return self.budget.grow(server, self.fill(), now) >= 1.0  # type: ignore[arg-type]
+
+    def fill(self) -> float:
+        """Own connections that fill a warm server, per size; taken to be what it has now."""
+        warm = [s for s in self.servers.values() if not self.budget.cold(s, self.host.now)]  # type: ignore[arg-type]
+        size = sum(s.size for s in warm)
+        return max(0.5, sum(len(s.open) for s in warm)) / size if size else 1.0
+
+    def dial(self, sess: Plain.Session) -> None:
+        if sess.answered or sess.dialling:
+            return
+        now, left = self.host.now, sess.give_up - self.host.now
+        spent = left <= 0 or len(sess.tried) >= self.settings.most_dials
+        fit = [] if spent else [s for s in self.servers.values() if self.allowed(sess, s)]
+        fit = [s for s in fit if s not in sess.tried] or fit
+        if not fit:
+            if not spent and not sess.tried and left > sess.listener.dial_timeout / 2:
+                self.waiting.append(sess)
+            else:
+                self.end(sess)
+            return
+        server = self.choose(fit, sess)
+        if self.budget.cold(server, now):  # type: ignore[arg-type]
+            level = self.budget.grow(server, self.fill(), now)  # type: ignore[arg-type]
+            self.budget.tokens[server] = (level - 1.0, now)  # type: ignore[index]
+        sess.server, sess.dialling = server, True
+        sess.tried.append(server)
+        if sess.ran_at is None:
+            sess.ran_since = now
+        server.open[sess] = None
+        last = len(sess.tried) >= self.settings.most_dials or sess.listener.repeat is Repeat.ONCE_ONLY
+        self.host.dial(sess.token, server.name, left if last else min(left, sess.listener.handshake_target))
+
+    def end(self, sess: Plain.Session) -> None:
+        sess.answered, repeat = True, sess.listener.repeat
+        everywhere = repeat is Repeat.REFERENCED and sess.listener.scope is Scope.ALL
+        if sess.ran_at is None or repeat is Repeat.REPEATABLE or everywhere:
+            self.host.refuse(sess.token, self.settings.retry_after * self.rng.random())
+        else:
+            self.host.tear_down(sess.token)
+
+    def choose(self, fit: list[Known], sess: Plain.Session) -> Known:
+        raise NotImplementedError
+
+
+class RandomChoice(Plain):
+    def choose(self, fit: list[Known], sess: Plain.Session) -> Known:
+        return self.rng.choice(fit)
+
+
+class RoundRobin(Plain):
+    turn = -1
+
+    def choose(self, fit: list[Known], sess: Plain.Session) -> Known:
+        if self.turn < 0:
+            self.turn = self.rng.randrange(1 << 16)  # balancers that start in step would go round in step
+        self.turn += 1
+        return fit[self.turn % len(fit)]
+
+
+class LeastConnections(Plain):
+    def choose(self, fit: list[Known], sess: Plain.Session) -> Known:
+        return min(fit, key=lambda s: ((len(s.open) + 1) / s.size, self.rng.random()))
+
+
+class TwoChoices(Plain):
+    def choose(self, fit: list[Known], sess: Plain.Session) -> Known:
+        two = self.rng.sample(fit, min(2, len(fit)))
+        return min(two, key=lambda s: (len(s.open) + 1) / s.size)
+
+
+class TrueState(Plain):
+    """The mark for the best: sees load, pile and health of every server at the instant, and what is on
+    its way."""
+
+    def truth(self, server: Known) -> servers.Server:
+        return self.world.by_name[server.name]
+
+    def choose(self, fit: list[Known], sess: Plain.Session) -> Known:
+        now, mine = self.host.now, self.settings.zone
+        unit = self.world.unit
+
+        def after(known: Known) -> float:
+            """Load over capacity once it has the session too."""
+            server = self.truth(known)
+            if not server.running or server.mute or server.errors or server.state.value == "draining":
+                return 100.0
+            if self.world.cuts and self.world.blocked(self.settings.me, server):
+                return 100.0
+            out = sum(1 for other in known.open if not other.standing)
+            wanted = server.demand + server.group_load() + unit * (2 + out)
+            far = 0.0 if known.zone == mine else 0.12
+            return wanted / server.capacity(now) + server.pile / server.capacity(now) + far
+
+        return min(fit, key=lambda s: (after(s), s.name))
+
+
+BY_NAME: dict[str, type[Plain]] = {
+    "random": RandomChoice,
+    "round-robin": RoundRobin,
+    "least-connections": LeastConnections,
+    "two-choices": TwoChoices,
+    "true-state": TrueState,
+}
--- /dev/null
+++ b/onyxhollow/lab/scenario.py
@@ -0,0 +1,275 @@
+"""Scenarios: typed TOML. A file is checked whole; an error names file, key path and what was expected.
+
+Times are seconds, loads are cores of work a second on a core of speed 1, rates are per second.
+"""
+
+from __future__ import annotations
+
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from onyxhollow.lab.world.faults import Fault
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=0)]
+Name = Annotated[str, Meta(min_length=1, max_length=40)]
+
+
+class ScenarioError(Exception):
+    """A scenario that can't be played; one line with file, key path, and what was expected."""
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """No key is passed over in silence: a misspelt one would leave its default in force."""
+
+
+class Kind(Strict, frozen=True):
+    """A make of machine."""
+
+    name: Name = "plain"
+    share: Positive = 1.0
+    cores: Positive = 4.0
+    speed: Positive = 1.0
+    spread: Share = 0.1  # standard deviation of a machine's true speed, as a share
+    connections: Annotated[int, Meta(ge=1)] = 4000  # cap on open connections
+    queue: Positive = 1.5  # seconds of work piled up from which new sessions are turned away
+
+
+class Fleet(Strict, frozen=True):
+    """Servers and proxies, and what servers do when cold, full or drained."""
+
+    servers: Count = 12
+    proxies: Annotated[int, Meta(ge=1)] = 4
+    zones: Annotated[list[Name], Meta(min_length=1)] = msgspec.field(default_factory=lambda: ["north"])
+    cell: Annotated[int, Meta(ge=1)] = 8  # servers that share knowledge of sessions seen
+    kinds: Annotated[list[Kind], Meta(min_length=1)] = msgspec.field(default_factory=lambda: [Kind()])
+    cold_share: Annotated[float, Meta(gt=0, le=1)] = 0.4
+    cold_time: NotNegative = 6.0
+    fall_multiple: Positive = 3.0
+    fall_time: Positive = 2.0
+    fall_out: Positive = 12.0  # seconds that a server which fell over stays out
+    drain: Literal["keeps", "paced", "at once"] = "paced"  # what a draining server does with its clients
+    sheds: Literal["nothing", "newest", "heaviest"] = "newest"  # dropped when too much is piled up
+    sheds_at: Positive = 2.0  # seconds of work piled up
+    group_cost: NotNegative = 0.0  # load of one group on a server, in average connections
+    crowding: Share = 0.1  # capacity lost with all connections taken
+    tells_load: bool = True
+    report_every: Positive = 1.0  # seconds between refreshments of a server's load report
+    report_delay: NotNegative = 0.2
+    report_noise: Share = 0.04
+
+
+class Store(Strict, frozen=True):
+    """The session store that every set-up asks once."""
+
+    rate: NotNegative = 0.0  # calls a second; 0: without end
+    time: NotNegative = 0.0
+
+
+class Network(Strict, frozen=True):
+    """One-way times."""
+
+    same: NotNegative = 0.0002
+    cross: NotNegative = 0.012
+    client: NotNegative = 0.0006
+    jitter: Share = 0.2
+    connect_time: Positive = 0.25
+    silence: Positive = 5.0  # seconds until a proxy takes a silent connection for lost
+
+
+class ListSource(Strict, frozen=True):
+    """The server list: a service that must be asked and then tells changes."""
+
+    notice: NotNegative = 1.5  # seconds until it knows that a server drains or has stopped in order
+    silent_notice: NotNegative = 8.0  # ... that one has vanished
+    add: NotNegative = 1.0  # ... that one has started
+    spread: NotNegative = 0.1  # until a change has reached a watcher, at the most
+    lines: Positive = 2000.0  # lines a second that it can send
+    call_lines: NotNegative = 20.0  # what a call costs beside its lines
+    timeout: Positive = 2.0
+
+
+class Front(Strict, frozen=True):
+    """What deals clients out to the proxies of their zone."""
+
+    notice: NotNegative = 2.0  # seconds until a dead proxy is noticed
+
+
+class Clients(Strict, frozen=True):
+    """How clients behave, and how many there are."""
+
+    load: Positive = 0.45  # mean load of all wanted connections, over the fleet's capacity at the start
+    per_core: Positive = 18.0  # average connections that fill one core
+    life: Positive = 35.0  # seconds, mean
+    life_sigma: NotNegative = 0.9  # of the lognormal law of lives
+    shape: Literal["steady", "wave", "bursty"] = "wave"
+    swing: Share = 0.2
+    record: str = ""  # a file of arrivals (one time in seconds a line), instead of shape
+    zone_skew: Share = 0.3
+    rejoin: Positive = 0.4  # seconds until a client that was cut off comes again, mean
+    move_gap: NotNegative = 0.08
+    honours: Share = 0.5  # clients that heed a wait told in a refusal
+    retry: Literal["at once", "fixed", "growing", "never"] = "growing"
+    backoff: Positive = 0.1
+    leaves_early: Share = 0.02  # clients that give up waiting before their timeout
+    group_size: Annotated[float, Meta(ge=1)] = 1.0  # 1: no groups
+    most_retry_after: NotNegative = 0.0  # the longest wait that a client heeds; 0: refusals tell none
+
+
+class ListenerSpec(Strict, frozen=True):
+    """A kind of session; the words of onyxhollow.interface.Listener."""
+
+    name: Name
+    share: Positive = 1.0
+    target: Positive = 0.4
+    timeout: Positive = 2.0
+    utility: Positive = 1.0
+    message_target: Positive = 0.25
+    work: Positive = 0.008  # core seconds of a set-up
+    load: Positive = 1.0  # of the average connection
+    load_sigma: NotNegative = 0.6
+    swing_sigma: NotNegative = 0.4
+    change: Positive = 8.0  # seconds between changes of a connection's load, mean
+    life: Positive = 1.0
+    repeat: Literal["repeatable", "referenced", "once-only"] = "repeatable"
+    scope: Literal["all", "zone", "cell"] = "all"
+    window: NotNegative = 5.0
+
+
+class CustomerSpec(Strict, frozen=True):
+    name: Name
+    share: Positive = 1.0
+    usage: Positive = 1.0  # what it asks for, over its share
+
+
+class Proxies(Strict, frozen=True):
+    """What the proxies are told and allowed; the words of onyxhollow.interface.Settings."""
+
+    most_dials: Annotated[int, Meta(ge=1)] = 4
+    probes: bool = True
+    probe_price: NotNegative = 0.0015
+    cancelling: bool = True
+    ask_within: Positive = 10.0
+    drain_grace: NotNegative = 0.25
+    answer_grace: NotNegative = 0.016
+    overage_utility: Share = 0.2
+    message_work: Positive = 0.006  # core seconds of one message
+
+
+class Goal(Strict, frozen=True):
+    """Weights of the figure that stands for a run."""
+
+    whole: NotNegative = 0.45
+    window: NotNegative = 0.25
+    listener: NotNegative = 0.2
+    customer: NotNegative = 0.1
+
+
+class Scenario(Strict, frozen=True):
+    title: Name
+    about: str = ""
+    seconds: Annotated[float, Meta(gt=0, le=86400)] = 50.0
+    fleet: Fleet = Fleet()
+    store: Store = Store()
+    network: Network = Network()
+    server_list: ListSource = ListSource()
+    front: Front = Front()
+    clients: Clients = Clients()
+    proxies: Proxies = Proxies()
+    goal: Goal = Goal()
+    listeners: Annotated[list[ListenerSpec], Meta(min_length=1, max_length=64)] = msgspec.field(
+        default_factory=lambda: [
+            ListenerSpec(name="balance", share=0.42, target=0.3, timeout=1.8, utility=2.0, load=1.0),
+            ListenerSpec(name="lookup", share=0.36, target=0.5, timeout=3.0, utility=1.0, load=3.0, life=1.6),
+            ListenerSpec(
+                name="update",
+                share=0.22,
+                target=0.8,
+                timeout=4.8,
+                utility=5.0,
+                load=5.0,
+                life=1.6,
+                message_target=0.06,
+            ),
+        ]
+    )
+    customers: Annotated[list[CustomerSpec], Meta(min_length=1, max_length=1000)] = msgspec.field(
+        default_factory=lambda: [
+            CustomerSpec(name=f"c{place + 1}", share=share, usage=usage)
+            for place, (share, usage) in enumerate(
+                [(0.3, 1.1), (0.25, 0.9), (0.2, 1.0), (0.15, 1.1), (0.1, 0.8)]
+            )
+        ]
+    )
+    faults: Annotated[list[Fault], Meta(max_length=200)] = msgspec.field(default_factory=list)
+
+
+def shipped() -> dict[str, Path]:
+    """The scenarios that come with the package, by name."""
+    folder = Path(str(resources.files("onyxhollow.lab") / "scenarios"))
+    return {path.stem: path for path in sorted(folder.glob("*.toml"))}
+
+
+def read(name: str) -> Scenario:
+    """A shipped scenario by name, or a file. Raises ScenarioError."""
+    path = shipped().get(name) or Path(name)
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        hint = "; known names: onyxhollow lab list" if "/" not in name else ""
+        raise ScenarioError(f"{name}: {error.strerror}{hint}") from None
+    return decode(raw, str(path.name))
+
+
+def decode(raw: bytes, where: str) -> Scenario:
+    """Raises ScenarioError; nothing is taken over from a file with a single fault in it."""
+    try:
+        scenario = msgspec.toml.decode(raw, type=Scenario)
+    except msgspec.ValidationError as error:
+        said, _, path = str(error).partition(" - at ")
+        raise ScenarioError(f"{where}: {path.strip('`') or '$'}: {said}") from None
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ScenarioError(f"{where}: not TOML: {error}") from None
+    check(scenario, where)
+    return scenario
+
+
+def check(scenario: Scenario, where: str) -> None:
+    """What the types alone can't tell. Raises ScenarioError."""
+
+    def fail(path: str, expected: str, got: object) -> None:
+        raise ScenarioError(f"{where}: $.{path}: expected {expected}, got {got!r}")
+
+    for path, names in (
+        ("listeners", [row.name for row in scenario.listeners]),
+        ("customers", [row.name for row in scenario.customers]),
+        ("fleet.zones", scenario.fleet.zones),
+        ("fleet.kinds", [row.name for row in scenario.fleet.kinds]),
+    ):
+        if len(set(names)) != len(names):
+            fail(path, "names that differ", names)
+    for place, row in enumerate(scenario.listeners):
+        if row.target > row.timeout:
+            fail(f"listeners[{place}].target", f"at most the timeout {row.timeout}", row.target)
+    if scenario.goal.whole + scenario.goal.window + scenario.goal.listener + scenario.goal.customer <= 0:
+        fail("goal", "weights that are not all 0", 0)
+    for place, fault in enumerate(scenario.faults):
+        if fault.at >= scenario.seconds:
+            fail(f"faults[{place}].at", f"a time before the end at {scenario.seconds}", fault.at)
+        if (
+            told := fault.impossible(scenario.fleet.zones, [row.name for row in scenario.listeners])
+        ) is not None:
+            fail(f"faults[{place}].{told[0]}", told[1], told[2])
+
+
+def encode(scenario: Scenario) -> bytes:
+    """The scenario as TOML, whole; reading it back gives the same."""
+    import tomli_w
+
+    return tomli_w.dumps(msgspec.to_builtins(scenario)).encode()
--- /dev/null
+++ b/onyxhollow/lab/virtual.py
@@ -0,0 +1,437 @@
+"""The virtual-time engine: hosts decision modules through interface.Host, one an instance, without a clock.
+
+Same scenario, seed and policy: the same result to the byte, in any process, whatever PYTHONHASHSEED says.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Hashable
+from typing import Any
+
+from onyxhollow.interface import (
+    Customer,
+    DialEnd,
+    Entry,
+    Listener,
+    ListKind,
+    Readiness,
+    Repeat,
+    Scope,
+    Settings,
+)
+from onyxhollow.lab.decisions import Maker
+from onyxhollow.lab.scenario import Scenario
+from onyxhollow.lab.world.clients import Cause, Session
+from onyxhollow.lab.world.listing import Row
+from onyxhollow.lab.world.servers import Server, State, Verdict
+from onyxhollow.lab.world.world import World
+
+PROBE_TIME = 0.3  # seconds until a probe is given up
+PROBE_WORK = 0.0002  # core seconds
+STOP_STEP, STILL_COMING, STOP_MARGIN = 0.05, 0.5, 0.3  # of a planned stop, seconds
+LOG_KEPT = 400  # lines of the modules' logs kept
+READINESS = {row.value: row for row in Readiness}
+
+
+class Held:
+    """A session as its proxy holds it: the module's token."""
+
+    __slots__ = ("sess", "handle", "dial", "out", "server", "sent_at", "standing", "answered")
+
+    def __init__(self, sess: Session) -> None:
+        self.sess = sess
+        self.handle: Any = None
+        self.dial, self.out, self.sent_at = 0, False, 0.0
+        self.server: Server | None = None
+        self.standing = self.answered = False
+
+    @property
+    def came_back(self) -> bool:
+        return self.sess.client.was_up
+
+
+class Instance:
+    """One proxy's life: the module's Host."""
+
+    def __init__(self, engine: Virtual, number: int, rows: list[Row], seen: int, life: int) -> None:
+        self.engine, self.number, self.world, self.agenda = engine, number, engine.world, engine.world.agenda
+        self.alive, self.stalled_until, self.stopping = True, 0.0, False
+        self.seen, self.rows = seen, {row.name: row for row in rows}
+        self.held: dict[int, Held] = {}
+        self.zone = self.world.proxies[number].zone
+        seed = (engine.world.seed * 1_000_003 + number * 7919 + life) & 0x7FFFFFFFFFFFFFFF
+        self.settings = engine.settings(number)
+        self.balancer = engine.maker(self, self.settings, seed, engine.world)
+        self.told(ListKind.CACHED, list(self.rows.values()))
+
+    @property
+    def now(self) -> float:
+        return self.agenda.now
+
+    def later(self, span: float, call: Any, *values: Any) -> None:
+        self.agenda.after(span, self.when_able, call, values)
+
+    def when_able(self, call: Any, values: tuple[Any, ...]) -> None:
+        """A proxy that stands still finds it all when it goes on, in order."""
+        if not self.alive:
+            return
+        if self.agenda.now < self.stalled_until:
+            self.agenda.at(self.stalled_until, self.when_able, call, values)
+        else:
+            call(*values)
+
+    # what the module asks
+
+    def dial(self, token: Hashable, server: str, timeout: float) -> None:
+        assert isinstance(token, Held)
+        now, target, engine = self.now, self.world.by_name[server], self.engine
+        token.dial, token.out, token.server, token.sent_at = token.dial + 1, True, target, now
+        self.world.referee.sent(now, self.number, token.sess.number, server)
+        self.world.ledger.count("dials")
+        if self.zone != target.zone:
+            self.world.ledger.count("dials across zones")
+        one_way = engine.one_way(self.zone, target.zone, token.sess)
+        self.agenda.after(3 * one_way, self.reach, token, token.dial, one_way)
+        self.later(min(timeout, max(0.0, token.sess.deadline - now)), self.timed_out, token, token.dial)
+
+    def cancel(self, token: Hashable, dial: int) -> None:
+        assert isinstance(token, Held)
+        self.later(0.0, self.dial_over, token, token.dial, DialEnd.CANCELLED)
+
+    def refuse(self, token: Hashable, retry_after: float) -> None:
+        assert isinstance(token, Held)
+        self.answer(token, "refused")
+        self.agenda.after(self.world.network.client, self.world.refused, token.sess, retry_after)
+
+    def tear_down(self, token: Hashable) -> None:
+        assert isinstance(token, Held)
+        self.answer(token, "failed")
+        self.agenda.after(self.world.network.client, self.world.failed, token.sess)
+
+    def move(self, token: Hashable) -> None:
+        assert isinstance(token, Held)
+        if token.standing and not token.sess.over:
+            self.world.ledger.count("moves")
+            self.world.cut(token.sess, Cause.MOVED)
+            self.later(0.0, self.dial_over, token, token.dial, DialEnd.CANCELLED)
+
+    def probe(self, server: str) -> None:
+        target, now = self.world.by_name[server], self.now
+        self.world.ledger.count("probes")
+        there = 3 * self.engine.one_way(self.zone, target.zone, None)
+        reachable = not target.gone_silent and not self.world.blocked(self.number, target)
+        if not reachable or target.hung:
+            self.later(PROBE_TIME, self.balancer.probed, server, DialEnd.TIMEOUT, PROBE_TIME, None)
+        elif target.state is State.STOPPED:
+            self.later(there, self.balancer.probed, server, DialEnd.CONNECT_FAILED, there, None)
+        else:
+            target.pile += PROBE_WORK
+            draw = int(now * 1000) + self.number
+            load = target.told_load(now, self.world.tables.normal(target.number, draw))
+            self.later(1.3 * there, self.balancer.probed, server, DialEnd.OK, 1.3 * there, load)
+
+    def watch(self) -> None:
+        self.world.referee.asks(self.now, self.number)
+        self.world.list.watch(self.number, self.seen, self.list_news, self.list_answer, self.list_ended)
+
+    def wake_at(self, when: float) -> None:
+        self.agenda.at(when, self.when_able, self.tick, ())
+
+    def log(self, line: str) -> None:
+        if len(self.engine.logs) < LOG_KEPT:
+            self.engine.logs.append((round(self.now, 3), self.number, line))
+
+    # what it is told
+
+    def tick(self) -> None:
+        self.balancer.tick()
+
+    def told(self, kind: ListKind, rows: list[Row]) -> None:
+        entries = [
+            Entry(row.name, READINESS[row.readiness], row.size, row.started, row.zone, row.cell)
+            for row in rows
+        ]
+        for row in rows:
+            self.world.referee.heard(self.now, self.number, row.name, row.readiness, row.started)
+        self.balancer.server_list(kind, entries)
+
+    def note(self, rows: list[Row], whole: bool, version: int) -> None:
+        self.seen = version
+        if whole:
+            for name in [name for name in self.rows if name not in {row.name for row in rows}]:
+                self.world.referee.heard(self.now, self.number, name, "gone", None)
+            self.rows = {}
+        for row in rows:
+            self.rows[row.name] = row
+        self.told(ListKind.FULL if whole else ListKind.CHANGES, rows)
+
+    def list_news(self, rows: list[Row], version: int) -> None:
+        self.when_able(self.note, (rows, False, version))
+
+    def list_answer(self, rows: list[Row] | None, whole: bool, version: int) -> None:
+        if not self.alive:
+            return
+        if rows is None:
+            self.when_able(self.told, (ListKind.FAILED, []))
+            return
+        self.world.referee.watching(self.number, True)
+        self.when_able(self.note, (rows, whole, version))
+
+    def list_ended(self) -> None:
+        if self.alive:
+            self.world.referee.watching(self.number, False)
+            self.world.referee.asks(self.now, self.number)
+            self.when_able(self.told, (ListKind.FAILED, []))
+
+    def come(self, sess: Session) -> None:
+        """A session has reached the proxy."""
+        if sess.over:
+            return
+        spec = self.world.scenario.listeners[sess.client.wish.listener]
+        self.world.referee.took(
+            self.now, self.number, sess.number, sess.deadline, spec.repeat, spec.scope, spec.window
+        )
+        held = self.held[sess.number] = Held(sess)
+        listener, customer, group = self.engine.describe(sess)
+        held.handle = self.balancer.take(
+            held, listener, customer, group, max(0.0, sess.deadline - self.now), None
+        )
+
+    def adopt(self, sess: Session) -> None:
+        """A connection that stood before the start."""
+        held = self.held[sess.number] = Held(sess)
+        held.out = held.standing = held.answered = True
+        held.server = sess.server
+        assert sess.server is not None
+        listener, customer, group = self.engine.describe(sess)
+        held.handle = self.balancer.adopt(held, listener, customer, group, None, sess.server.name)
+
+    def answer(self, held: Held, how: str) -> None:
+        held.answered = True
+        self.world.referee.answered(self.now, self.number, held.sess.number, how)
+        self.held.pop(held.sess.number, None)
+
+    def reach(self, held: Held, dial: int, one_way: float) -> None:
+        """A dial's line has reached its server, if it can."""
+        if not self.alive or not held.out or held.dial != dial or held.server is None:
+            return
+        server = held.server
+        if server.gone_silent or self.world.blocked(self.number, server):
+            left = self.world.network.connect_time - (self.now - held.sent_at)
+            self.later(max(0.0, left), self.dial_over, held, dial, DialEnd.CONNECT_FAILED)
+            return
+        verdict, wait = self.world.offer(held.sess, server)
+        if verdict is Verdict.UP:
+            self.agenda.after(wait + one_way, self.verdict, held, dial, server, server.started)
+        elif verdict is not Verdict.SILENT:
+            end = {
+                Verdict.FULL: DialEnd.FULL,
+                Verdict.ERROR: DialEnd.ERROR,
+                Verdict.REFUSED: DialEnd.CONNECT_FAILED,
+            }[verdict]
+            self.later(wait + one_way, self.dial_over, held, dial, end)
+
+    def verdict(self, held: Held, dial: int, server: Server, started: float) -> None:
+        """The server's UP has come, unless something stands between."""
+        if not self.alive or self.world.blocked(self.number, server) or server.mute:
+            return
+        if not held.out or held.dial != dial:
+            self.world.ledger.count("set up in vain")
+        elif server.state is State.STOPPED or server.started != started:
+            self.when_able(self.dial_over, (held, dial, DialEnd.RESET))
+        else:
+            self.when_able(self.stands, (held, dial, server))
+
+    def stands(self, held: Held, dial: int, server: Server) -> None:
+        if not held.out or held.dial != dial or held.sess.over:
+            return
+        held.standing = held.answered = True
+        self.world.referee.answered(self.now, self.number, held.sess.number, "up")
+        held.handle.accepted(self.now - held.sent_at)
+        self.world.up(held.sess, server)
+
+    def timed_out(self, held: Held, dial: int) -> None:
+        if held.out and held.dial == dial and not held.standing:
+            self.dial_over(held, dial, DialEnd.TIMEOUT)
+
+    def dial_over(self, held: Held, dial: int, end: DialEnd) -> None:
+        if not held.out or held.dial != dial:
+            return
+        held.out = False
+        if end is not DialEnd.OK:
+            self.world.ledger.count(f"dial: {end.value}")
+        self.world.referee.dial_ended(self.now, held.sess.number, held.sent_at, end.never_ran)
+        final = held.answered or held.standing
+        if held.standing:
+            self.held.pop(held.sess.number, None)
+        if held.handle is not None:
+            held.handle.dial_ended(end, final, self.now - held.sent_at, None)
+
+    def left(self, sess: Session) -> None:
+        """The client has gone."""
+        held = self.held.get(sess.number)
+        if held is None:
+            return
+        if held.standing:
+            self.dial_over(held, held.dial, DialEnd.CANCELLED)
+            return
+        self.world.referee.gone(self.now, sess.number)
+        self.held.pop(sess.number, None)
+        if not held.answered:
+            held.answered = True
+            held.handle.client_gone()
+
+    def ended(self, sess: Session, sent_away: bool) -> None:
+        if held := self.held.get(sess.number):
+            self.dial_over(held, held.dial, DialEnd.CANCELLED if sent_away else DialEnd.RESET)
+
+    def stop(self, span: float) -> None:
+        self.stopping = True
+        self.later(STILL_COMING, self.stop_step, self.now + span - STOP_MARGIN)
+
+    def stop_step(self, last: float) -> None:
+        """Moves its clients evenly over the time it has; at the end what still waits is answered."""
+        open_ones = [held for held in self.held.values() if held.standing]
+        share = STOP_STEP / max(STOP_STEP, last - self.now)
+        for held in open_ones[: math.ceil(len(open_ones) * share)]:
+            self.move(held)
+        if self.now < last:
+            self.later(STOP_STEP, self.stop_step, last)
+            return
+        for held in [held for held in self.held.values() if not held.standing and not held.answered]:
+            held.handle.give_up = -math.inf
+            if held.out:
+                self.dial_over(held, held.dial, DialEnd.CANCELLED)
+            else:
+                self.balancer.dial(held.handle)
+
+
+class Virtual:
+    """The engine: one Instance a proxy that lives."""
+
+    def __init__(self, scenario: Scenario, seed: int, maker: Maker) -> None:
+        self.scenario, self.maker = scenario, maker
+        self.world = World(scenario, seed)
+        self.instances: dict[int, Instance] = {}
+        self.lives: dict[int, int] = {}
+        self.lists: dict[int, tuple[list[Row], int]] = {}
+        self.logs: list[tuple[float, int, str]] = []
+        self.listeners = [
+            Listener(
+                row.name,
+                row.target,
+                row.timeout,
+                row.utility,
+                Repeat(row.repeat),
+                Scope(row.scope),
+                row.window,
+                row.message_target,
+            )
+            for row in scenario.listeners
+        ]
+        self.customers = [
+            Customer(row.name, row.share, self.world.quotas[n]) for n, row in enumerate(scenario.customers)
+        ]
+        self.delays = 0
+
+    def settings(self, number: int) -> Settings:
+        fleet, proxies = self.scenario.fleet, self.scenario.proxies
+        return Settings(
+            listeners={row.name: row for row in self.listeners},
+            customers={row.name: row for row in self.customers},
+            me=number,
+            balancers=fleet.proxies,
+            zone=self.world.zone_name(self.world.proxies[number].zone),
+            ask_within=proxies.ask_within,
+            cold_share=fleet.cold_share,
+            cold_time=fleet.cold_time,
+            fall_multiple=fleet.fall_multiple,
+            fall_time=fleet.fall_time,
+            most_dials=proxies.most_dials,
+            probes=proxies.probes,
+            probe_price=proxies.probe_price,
+            cancelling=proxies.cancelling,
+            retry_after=self.scenario.clients.most_retry_after,
+            overage_utility=proxies.overage_utility,
+            groups=self.scenario.clients.group_size > 1,
+            load_field="load" if proxies.probes else "",
+        )
+
+    def describe(self, sess: Session) -> tuple[Listener, Customer, Hashable]:
+        wish = sess.client.wish
+        group = f"g{wish.group}" if wish.group >= 0 else f"k{wish.number}"
+        return self.listeners[wish.listener], self.customers[wish.customer], group
+
+    def one_way(self, zone: int, other: int, sess: Session | None) -> float:
+        """Seconds, jitter included; a session's own draws, so that other sessions' delays move nothing
+        here."""
+        base = self.world.one_way(zone, other)
+        if sess is None:
+            return base
+        draw = self.world.tables.uniform(sess.client.wish.number, sess.client.draw())
+        return base * (1.0 + self.scenario.network.jitter * (2.0 * draw - 1.0))
+
+    def run(self) -> World:
+        self.begin()
+        self.world.agenda.run(self.scenario.seconds)
+        return self.end()
+
+    def begin(self) -> None:
+        """Everything up to the first instant: the agenda can be turned from here."""
+        world = self.world
+        world.start(self)
+        rows = list(world.list.rows.values())
+        for number in range(self.scenario.fleet.proxies):
+            self.lists[number], self.lives[number] = (rows, world.list.version), 0
+            self.instances[number] = Instance(self, number, rows, world.list.version, 0)
+        for sess in world.standing():
+            self.instances[sess.proxy].adopt(sess)
+
+    def end(self) -> World:
+        """Closes the accounts; the agenda must have come to the scenario's end."""
+        self.world.finish()
+        return self.world
+
+    # called by the world
+
+    def submit(self, sess: Session) -> None:
+        self.world.agenda.after(self.world.network.client, self.arrives, sess)
+
+    def arrives(self, sess: Session) -> None:
+        instance = self.instances.get(sess.proxy)
+        if instance is None:
+            self.world.lost(sess)
+        else:
+            instance.when_able(instance.come, (sess,))
+
+    def withdraw(self, sess: Session) -> None:
+        if instance := self.instances.get(sess.proxy):
+            instance.when_able(instance.left, (sess,))
+
+    def ended(self, sess: Session, sent_away: bool) -> None:
+        if instance := self.instances.get(sess.proxy):
+            instance.when_able(instance.ended, (sess, sent_away))
+
+    def load_changed(self, sess: Session) -> None:
+        if (instance := self.instances.get(sess.proxy)) and (held := instance.held.get(sess.number)):
+            if held.handle is not None and held.standing:
+                instance.when_able(held.handle.load_news, (sess.load,))
+
+    def crash(self, number: int) -> None:
+        if instance := self.instances.pop(number, None):
+            instance.alive = False
+            self.lists[number] = list(instance.rows.values()), instance.seen
+
+    def restart(self, number: int) -> None:
+        self.lives[number] += 1
+        rows, seen = self.lists[number]
+        self.instances[number] = Instance(self, number, rows, seen, self.lives[number])
+
+    def stop(self, number: int, span: float) -> None:
+        self.instances[number].stop(span)
+
+    def stall(self, number: int, span: float) -> None:
+        instance = self.instances[number]
+        instance.stalled_until = max(instance.stalled_until, self.world.agenda.now + span)
+        self.world.referee.stalled(number, instance.stalled_until)
--- /dev/null
+++ b/onyxhollow/lab/world/__init__.py
@@ -0,0 +1,1 @@
+"""The world model: pure, told the time, drawing from seeded generators, used by both engines."""
--- /dev/null
+++ b/onyxhollow/lab/world/draws.py
@@ -0,0 +1,184 @@
+"""All that chance decides about clients, drawn ahead from the seed alone.
+
+Two policies on one seed meet the same clients (common random numbers): nothing here depends on what a
+policy does. Streams come from numpy's SeedSequence, one a purpose, so that a further purpose moves none
+of the others.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+if TYPE_CHECKING:
+    from onyxhollow.lab.scenario import Scenario
+
+TABLE = 1 << 16
+PURPOSES = ("arrivals", "lives", "traits", "standing", "tables", "servers", "network", "faults")
+
+
+def stream(seed: int, purpose: str) -> np.random.Generator:
+    return np.random.Generator(np.random.PCG64(np.random.SeedSequence([seed, PURPOSES.index(purpose)])))
+
+
+class Tables:
+    """Numbers drawn ahead that a client or server reads by its own number: the k-th draw of number i is the
+    same whatever happened to others meanwhile."""
+
+    def __init__(self, seed: int) -> None:
+        rng = stream(seed, "tables")
+        self.uniforms: list[float] = rng.random(TABLE).tolist()
+        self.normals: list[float] = rng.standard_normal(TABLE).tolist()
+
+    def uniform(self, who: int, draw: int) -> float:
+        return self.uniforms[(who * 40503 + draw * 977) & (TABLE - 1)]
+
+    def normal(self, who: int, draw: int) -> float:
+        return self.normals[(who * 30011 + draw * 1471) & (TABLE - 1)]
+
+    def exponential(self, who: int, draw: int) -> float:
+        return -math.log(1.0 - self.uniforms[(who * 52361 + draw * 613 + 17) & (TABLE - 1)])
+
+
+@dataclass(slots=True)
+class Wish:
+    """One client's wish for a connection, from due to end (seconds)."""
+
+    number: int
+    due: float
+    end: float
+    listener: int
+    customer: int
+    zone: int
+    group: int  # -1: none
+    load: float  # usual load, cores of work
+    over: bool  # beyond its customer's share when it came
+    stands: bool  # open before the start
+
+
+@dataclass(slots=True)
+class Rates:
+    """Factors on the rate of arrivals and on loads that faults bring, known before the start."""
+
+    arrivals: list[tuple[float, float, float]] = field(default_factory=list)  # from, to, factor
+    costly: list[tuple[float, float, int, float, float]] = field(default_factory=list)
+    # from, to, listener (-1: any), share, factor
+
+
+def shaping(scenario: Scenario, rates: Rates, rng: np.random.Generator) -> Callable[[np.ndarray], np.ndarray]:
+    clients = scenario.clients
+    phase, period = rng.uniform(0, 2 * math.pi), scenario.seconds * rng.uniform(0.5, 1.0)
+    pieces = rng.uniform(1 - clients.swing, 1 + clients.swing, size=1 + math.ceil(scenario.seconds / 4.0))
+
+    def shape(times: np.ndarray) -> np.ndarray:
+        if clients.shape == "wave":
+            factor = 1 + clients.swing * np.sin(2 * math.pi * times / period + phase)
+        elif clients.shape == "bursty":
+            factor = pieces[np.minimum((times / 4.0).astype(int), len(pieces) - 1)]
+        else:
+            factor = np.ones(len(times))
+        for begin, end, times_more in rates.arrivals:
+            factor = np.where((times >= begin) & (times < end), factor * times_more, factor)
+        return factor
+
+    return shape
+
+
+def recorded(name: str) -> np.ndarray:
+    """Arrival times from a file, one a line. Raises OSError or ValueError."""
+    times = np.array([float(line) for line in Path(name).read_text().split()])
+    if len(times) and (not np.isfinite(times).all() or times.min() < 0):
+        raise ValueError(f"{name}: expected times of 0 or more seconds, one a line")
+    return np.sort(times)
+
+
+@dataclass(slots=True)
+class Population:
+    wishes: list[Wish]
+    unit: float  # load of the average connection, cores
+    quotas: list[float]  # open connections within each customer's share
+
+
+def populate(scenario: Scenario, capacity: float, rates: Rates, seed: int) -> Population:
+    """All clients of a run. capacity: what the fleet can do at the start, in cores of speed 1.
+
+    Raises OSError or ValueError if a recorded file can't be read.
+    """
+    clients, listeners = scenario.clients, scenario.listeners
+    share = np.array([row.share for row in listeners])
+    share /= share.sum()
+    life = np.array([row.life for row in listeners]) * clients.life
+    weight = share * life  # of those that stand
+    mean_load = float((weight * [row.load for row in listeners]).sum() / weight.sum())
+    unit = 1.0 / (clients.per_core * mean_load)
+    standing = clients.load * capacity * clients.per_core
+    rate = standing / float((share * life).sum())
+
+    rng = stream(seed, "arrivals")
+    shape = shaping(scenario, rates, rng)
+    if clients.record:
+        times = recorded(clients.record)
+        times = times[times < scenario.seconds]
+    else:
+        most = float(shape(np.linspace(0, scenario.seconds, 2001)).max(initial=0.0)) * 1.001
+        times = np.sort(rng.uniform(0, scenario.seconds, rng.poisson(most * rate * scenario.seconds)))
+        times = times[rng.random(len(times)) * most < shape(times)]
+    before = int(stream(seed, "standing").poisson(standing))
+    count = before + len(times)
+
+    traits, lives = stream(seed, "traits"), stream(seed, "lives")
+    which = traits.choice(len(listeners), size=count, p=share)
+    if before:  # those that stand are the long-lived: length-biased, a uniform part of the life is gone
+        which[:before] = stream(seed, "standing").choice(len(listeners), size=before, p=weight / weight.sum())
+    sigma = clients.life_sigma
+    bias = np.where(np.arange(count) < before, sigma, 0.0)
+    drawn = np.exp(sigma * (lives.standard_normal(count) + bias) - sigma**2 / 2) * life[which]
+    left = drawn * np.where(np.arange(count) < before, lives.random(count), 1.0)
+    usage = np.array([row.share * row.usage for row in scenario.customers])
+    customer = traits.choice(len(usage), size=count, p=usage / usage.sum())
+    zones = len(scenario.fleet.zones)
+    skew = 1.0 + clients.zone_skew * np.linspace(1, -1, zones) if zones > 1 else np.ones(1)
+    zone = traits.choice(zones, size=count, p=skew / skew.sum())
+    sigmas = np.array([row.load_sigma for row in listeners])[which]
+    scale = np.array([row.load for row in listeners])[which] * unit
+    load = scale * np.exp(sigmas * traits.standard_normal(count) - sigmas**2 / 2)
+    groups = max(1, round(standing / clients.group_size))
+    if clients.group_size > 1:
+        ranks = 1.0 / np.arange(1, groups + 1) ** 0.9
+        group = traits.choice(groups, size=count, p=ranks / ranks.sum())
+    else:
+        group = np.full(count, -1)
+    due = np.concatenate([np.zeros(before), times])
+    for begin, end, listener, part, factor in rates.costly:
+        hit = (due >= begin) & (due < end) & (traits.random(count) < part)
+        if listener >= 0:
+            hit &= which == listener
+        load = np.where(hit, load * factor, load)
+    quotas = [
+        0.9 * capacity * clients.per_core * row.share / sum(c.share for c in scenario.customers)
+        for row in scenario.customers
+    ]
+    over = beyond(due, due + left, customer, quotas)
+    ends, loads = (due + left).tolist(), load.tolist()
+    kinds, whose, zones_of, groups_of = which.tolist(), customer.tolist(), zone.tolist(), group.tolist()
+    wishes = [
+        Wish(n, came, ends[n], kinds[n], whose[n], zones_of[n], groups_of[n], loads[n], over[n], n < before)
+        for n, came in enumerate(due.tolist())
+    ]
+    return Population(wishes, unit, quotas)
+
+
+def beyond(due: np.ndarray, end: np.ndarray, customer: np.ndarray, quotas: list[float]) -> list[bool]:
+    """Who comes while its customer wants more connections than its share holds, whatever a policy does."""
+    over = np.zeros(len(due), dtype=bool)
+    for who, quota in enumerate(quotas):
+        mine = np.flatnonzero(customer == who)
+        ends = np.sort(end[mine])
+        begun = np.arange(len(mine))  # they are in order of due
+        over[mine] = begun - np.searchsorted(ends, due[mine], side="right") >= quota
+    return [bool(value) for value in over.tolist()]
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,370 @@
+"""The lab: accounts, faults, determinism, and a referee that bites. All in virtual time."""
+
+import os
+import subprocess
+import sys
+
+import msgspec
+import pytest
+
+pytest.importorskip("msgspec")
+
+from onyxhollow.lab import broken, decisions, runs, scenario  # noqa: E402
+from onyxhollow.lab.referee import Referee  # noqa: E402
+from onyxhollow.lab.virtual import Virtual  # noqa: E402
+from onyxhollow.lab.world import faults  # noqa: E402
+from onyxhollow.lab.world.clients import Cause  # noqa: E402
+from onyxhollow.lab.world.servers import State  # noqa: E402
+from onyxhollow.lab.world.world import World  # noqa: E402
+from onyxhollow.policy import Balancer  # noqa: E402
+
+SMALL = """
+title = "small"
+seconds = 14.0
+[fleet]
+servers = 6
+proxies = 2
+zones = ["north", "south"]
+"""
+
+
+def small(more="", **changes):
+    made = scenario.decode((SMALL + more).encode(), "small")
+    return msgspec.structs.replace(made, **changes)
+
+
+def fault(kind, **values):
+    rows = [
+        f'{key} = "{value}"' if isinstance(value, str) else f"{key} = {str(value).lower()}"
+        for key, value in values.items()
+    ]
+    return f'\n[[faults]]\nkind = "{kind}"\n' + "\n".join(rows) + "\n"
+
+
+def begun(day, seed=1, policy="module"):
+    """An engine whose agenda can be turned by hand."""
+    engine = Virtual(day, seed, decisions.find(policy))
+    engine.begin()
+    return engine, engine.world
+
+
+def test_the_same_run_is_the_same_to_the_byte_in_any_process():
+    code = (
+        "import sys; from onyxhollow.lab import runs, scenario; sys.stdout.buffer.write("
+        "runs.text(runs.play(scenario.read('reload'), 3, 'module', series=True)))"
+    )
+    outs = [
+        subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            check=True,
+            timeout=120,
+            env={**os.environ, "PYTHONHASHSEED": salt},
+        ).stdout
+        for salt in ("1", "77")
+    ]
+    assert outs[0] == outs[1] and b'"score"' in outs[0]
+    assert outs[0] != runs.text(runs.play(scenario.read("reload"), 4, "module", series=True))
+
+
+def test_what_clients_want_depends_on_no_policy_and_accounts_balance():
+    day = small(fault("crash", at=3.0, lasts=3.0, part=0.5) + fault("reconnect", at=8.0, share=0.5))
+    told = {name: Virtual(day, 2, decisions.find(name)).run() for name in ("module", "random", "true-state")}
+    assert len({tuple(world.ledger.wanted) for world in told.values()}) == 1
+    assert len({tuple(world.ledger.earned) for world in told.values()}) == 3
+    for world in told.values():
+        figures = world.ledger.figures()  # raises where wanted is not earned and lost
+        assert sum(figures["lost"].values()) == pytest.approx(1 - figures["service"], abs=1e-6)
+        assert figures["lost"]["torn down"] > 0 and figures["lost"]["dropped"] > 0
+        by_listener = sum(world.ledger.listener_earned)
+        assert by_listener == pytest.approx(sum(world.ledger.earned))
+
+
+@pytest.mark.parametrize("rule", [1, 2, 3, 4])
+def test_each_rule_is_broken_by_its_policy_and_kept_by_the_module(rule):
+    kind, day = broken.days()[rule]
+    caught = Virtual(day, 1, lambda host, settings, seed, _: kind(host, settings, seed)).run().referee
+    kept = Virtual(day, 1, lambda host, settings, seed, _: Balancer(host, settings, seed)).run().referee
+    assert caught.counts[rule] and kept.clean
+
+
+def test_the_referee_judges_the_edge_of_each_rule():
+    def judge(act):
+        referee = Referee(drain_grace=0.25, answer_grace=0.016, ask_within=10.0)
+        referee.places = {"a": (0, 0), "b": (0, 1), "c": (1, 1)}
+        referee.watching(0, True)
+        act(referee)
+        referee.finish(100.0)
+        return [rule for rule, count in referee.counts.items() if count]
+
+    def session(referee, repeat="repeatable", scope="all", window=0.0):
+        referee.took(1.0, 0, 7, 3.0, repeat, scope, window)
+
+    def answered_at(when):
+        return judge(lambda r: (session(r), r.answered(when, 0, 7, "refused")))
+
+    assert answered_at(3.015) == [] and answered_at(3.02) == [1]
+    assert judge(session) == [1]  # never
+    assert judge(lambda r: (session(r), r.gone(2.0, 7))) == []
+    assert judge(lambda r: (session(r), r.gone(3.2, 7))) == [1]
+    twice = judge(lambda r: (session(r), r.answered(2.0, 0, 7, "up"), r.answered(2.1, 1, 7, "refused")))
+    assert twice == [1]  # by two proxies
+    assert 2 in judge(lambda r: (session(r), r.took(1.5, 1, 7, 3.0, "repeatable", "all", 0.0)))
+
+    def again(repeat, never_ran, scope="all", second="b", when=1.5, window=0.0):
+        return judge(
+            lambda r: (
+                session(r, repeat, scope, window),
+                r.sent(1.1, 0, 7, "a"),
+                r.dial_ended(1.4, 7, 1.1, never_ran),
+                r.sent(when, 0, 7, second),
+                r.answered(2.0, 0, 7, "up"),
+            )
+        )
+
+    assert again("once-only", True) == [] and again("once-only", False) == [2]
+    assert again("referenced", False, "zone", "b", window=1.0) == []
+    assert again("referenced", False, "zone", "c", window=1.0) == [2]
+    assert again("referenced", False, "cell", "b", window=1.0) == [2]
+    assert again("referenced", False, "all", "c", when=2.15, window=1.0) == [2]
+    out = judge(
+        lambda r: (session(r), r.sent(1.1, 0, 7, "a"), r.sent(1.2, 0, 7, "b"), r.answered(2.0, 0, 7, "up"))
+    )
+    assert out == [2]  # two dials out
+
+    def sent_at(when):
+        return judge(
+            lambda r: (
+                r.heard(1.0, 0, "a", "draining", None),
+                session(r),
+                r.sent(when, 0, 7, "a"),
+                r.answered(2.0, 0, 7, "up"),
+            )
+        )
+
+    assert sent_at(1.25) == [] and sent_at(1.26) == [3]
+
+    def unwatched(when):
+        """It neither watches nor asks: what the list showed at 1.0 counts as told at 11.0."""
+        return judge(
+            lambda r: (
+                r.watching(0, False),
+                r.shown(1.0, "a", "gone", None),
+                r.took(when, 0, 7, when + 1, "repeatable", "all", 0.0),
+                r.sent(when, 0, 7, "a"),
+                r.answered(when, 0, 7, "up"),
+            )
+        )
+
+    assert unwatched(11.2) == [] and unwatched(11.3) == [3]
+
+    def fell(share):
+        return judge(
+            lambda r: (r.heard(1.0, 0, "a", "in service", 0.9), r.fell(2.0, "a", 0.9, {0: share, 1: 1.0}))
+        )
+
+    assert fell(2.1) == [4] and fell(1.9) == []
+
+
+# what can be seen of a fault half-way, and of the world after it
+MARKS = {
+    "slow": lambda w: any(s.factors for s in w.servers),
+    "hung": lambda w: any(s.hung for s in w.servers),
+    "fast_errors": lambda w: any(s.errors for s in w.servers),
+    "noisy_neighbour": lambda w: w.struck and any(s.capacity(5.9) < 0.5 * s.full for s in w.servers),
+    "vanish": lambda w: any(s.gone_silent for s in w.servers),
+    "zone_lost": lambda w: sum(bool(s.gone_silent) for s in w.servers) == 3,
+    "crash": lambda w: any(s.state is State.STOPPED for s in w.servers),
+    "partition": lambda w: any(w.blocked(p.number, s) == "both" for p in w.proxies for s in w.servers),
+    "lying_reports": lambda w: any(s.lies for s in w.servers),
+    "list_down": lambda w: w.list.down and not w.list.watchers,
+    "list_stale": lambda w: w.list.late,
+    "proxy_crash": lambda w: not all(p.alive for p in w.proxies),
+}
+MORE = {"zone_lost": {"zone": "north"}, "noisy_neighbour": {"on": 10.0, "takes": 0.8}}
+
+
+@pytest.mark.parametrize("kind", sorted(MARKS))
+def test_a_fault_bites_while_it_lasts_and_leaves_nothing_behind(kind):
+    values = {"at": 4.0, "lasts": 3.0, **MORE.get(kind, {})}
+    engine, world = begun(small(fault(kind, **values)))
+    world.agenda.run(3.9)
+    assert not MARKS[kind](world)
+    world.agenda.run(5.9)
+    assert MARKS[kind](world)
+    world.agenda.run(13.5)
+    assert not MARKS[kind](world) and not world.struck
+    assert all(s.running for s in world.servers) and all(p.alive and p.listed for p in world.proxies)
+    engine.end()
+
+
+# faults that are over at once or change what comes: what the run shows of them
+SHOWN = {
+    "reset": ({}, lambda w: w.ledger.counts["cut: torn down"] >= 5),
+    "reconnect": ({"share": 0.5}, lambda w: w.ledger.counts["cut: dropped"] >= 20),
+    "grow": ({"servers": 3}, lambda w: len(w.servers) == 9 and all(s.sessions for s in w.servers)),
+    "shrink": ({"part": 0.5, "drain": 2.0}, lambda w: sum(s.running for s in w.servers) == 3),
+    "deploy": ({"part": 1.0, "batch": 0.5, "drain": 1.0}, lambda w: all(s.started > 0 for s in w.servers)),
+    "clock_step": (
+        {"part": 1.0, "step": 60.0},
+        lambda w: all((r.started or 0) > 60 for r in w.list.rows.values()),
+    ),
+    "proxy_restart": (
+        {"part": 1.0, "apart": 0.2, "stop": 2.0},
+        lambda w: w.ledger.counts["proxy restarts"] == 2,
+    ),
+    "proxy_stall": ({"at": 3.0, "part": 1.0, "lasts": 2.0}, lambda w: w.ledger.counts["up late"] >= 3),
+    "watch_ended": ({}, lambda w: w.list.calls == 4 and len(w.list.watchers) == 2),
+    "burst": ({"times": 4.0}, lambda w: sum(4 <= c.wish.due < 7 for c in w.clients) > 30),
+    "costly": ({"share": 1.0, "times": 50.0}, lambda w: max(c.wish.load for c in w.clients) > 50 * w.unit),
+}
+
+
+@pytest.mark.parametrize("kind", sorted(SHOWN))
+def test_a_fault_shows_in_the_run_and_not_without_it(kind):
+    values, shows = SHOWN[kind]
+    with_it = Virtual(
+        small(fault(kind, **{"at": 4.0, "lasts": 3.0, **values})), 1, decisions.find("module")
+    ).run()
+    without = Virtual(small(), 1, decisions.find("module")).run()
+    without.ledger.counts = dict.fromkeys(
+        ["cut: torn down", "cut: dropped", "proxy restarts", "up late"], 0
+    ) | (without.ledger.counts)
+    assert shows(with_it) and not shows(without)
+    assert with_it.referee.clean
+
+
+def test_every_kind_of_fault_has_its_test():
+    kinds = {kind.__struct_config__.tag for kind in faults.Fault.__args__}
+    assert kinds == set(MARKS) | set(SHOWN)
+
+
+def test_two_faults_on_one_server_are_undone_one_by_one():
+    both = fault("slow", at=2.0, lasts=6.0, part=1.0, times=4.0) + fault(
+        "slow", at=4.0, lasts=2.0, part=1.0, times=2.0
+    )
+    engine, world = begun(small(both))
+    shares = []
+    for when in (3.0, 5.0, 7.0, 9.0):
+        world.agenda.run(when)
+        shares.append(1 / world.servers[0].capacity(when) * world.servers[0].full)
+    assert [round(share) for share in shares] == [4, 8, 4, 1]
+
+
+def test_a_fault_that_ends_before_it_bites_changes_nothing_of_the_service():
+    day = small(fault("slow", at=4.0, lasts=0.0) + fault("hung", at=4.0, lasts=0.0, part=1.0))
+    told, plain = runs.play(day, 1, "module"), runs.play(small(), 1, "module")
+    assert told["service"] == plain["service"] and told["faults"][0][2] == "slow"
+
+
+def test_a_life_that_ends_in_the_instant_of_its_drain_is_answered_once():
+    for early in (0.0, 1e-9):  # its end before the drain, and the drain before its end
+        engine, world = begun(small())
+        client = next(c for c in world.clients if 3.0 < c.wish.end < 8.0 and c.session)
+        sess, server = client.session, client.session.server
+        world.agenda.at(client.wish.end - early, world.drain_server, server, 2.0, False, False)
+        world.agenda.at(client.wish.end - early, world.drop, client)
+        world.agenda.at(client.wish.end - early, world.end_by_server, sess, True)
+        world.agenda.run(world.scenario.seconds)
+        engine.end()
+        assert sess.over and client.done and client.session is None and sess not in server.sessions
+        assert world.referee.clean and world.ledger.figures()["service"] > 0.9
+
+
+def test_a_proxy_that_crashes_with_dials_out_owes_nothing_and_its_clients_come_again():
+    day = small(
+        fault("hung", at=2.0, lasts=4.0, part=1.0) + fault("proxy_crash", at=3.5, lasts=1.0, part=1.0)
+    )
+    engine, world = begun(day)
+    world.agenda.run(3.45)
+    out = [
+        held.sess
+        for instance in engine.instances.values()
+        for held in instance.held.values()
+        if held.out and not held.standing
+    ]
+    assert out
+    world.agenda.run(day.seconds)
+    engine.end()
+    assert world.referee.clean
+    assert all(sess.client.done or sess.client.was_up or sess.client.session for sess in out)
+
+
+@pytest.mark.parametrize("name", ["one-server", "no-server", "one-proxy", "once-only", "partition-one-way"])
+@pytest.mark.parametrize("policy", ["module", "true-state", "round-robin"])
+def test_small_and_strange_fleets_are_played_to_the_end(name, policy):
+    told = runs.play(scenario.read(name), 1, policy)
+    assert told["rules"]["clean"] and 0 < told["service"] <= 1
+
+
+def test_cut_links_mute_what_stands_on_them_and_mending_lets_it_go_on():
+    engine, world = begun(small(fault("partition", at=2.0, lasts=3.0, part=1.0, proxies=0.5, one_way=True)))
+    world.agenda.run(2.5)
+    muted = [sess for server in world.servers for sess in server.sessions if sess.muted]
+    assert muted and {sess.proxy for sess in muted} == set(world.cuts[0].proxies)
+    world.agenda.run(5.5)
+    assert not any(sess.muted for server in world.servers for sess in server.sessions)
+    world.agenda.run(world.scenario.seconds)
+    engine.end()
+    assert world.ledger.figures()["lost"][Cause.UNREACHABLE.value] > 0.05 and world.referee.clean
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("title = 3", "$.title: Expected `str`"),
+        ("lenght = 3.0", "$: Object contains unknown field `lenght`"),
+        ("[fleet]\nproxies = 0", "$.fleet.proxies: Expected `int` >= 1"),
+        ('[[faults]]\nkind = "fire"\nat = 1.0', "$.faults[0].kind: Invalid value 'fire'"),
+        (
+            '[[faults]]\nkind = "slow"\nat = 900.0',
+            "$.faults[0].at: expected a time before the end",
+        ),
+        (
+            '[[faults]]\nkind = "zone_lost"\nat = 1.0\nzone = "mars"',
+            "$.faults[0].zone: expected one of",
+        ),
+        (
+            '[[listeners]]\nname = "a"\n[[listeners]]\nname = "a"',
+            "$.listeners: expected names that differ",
+        ),
+        (
+            '[[listeners]]\nname = "a"\ntarget = 5.0',
+            "$.listeners[0].target: expected at most the timeout",
+        ),
+        ("title = ", "not TOML"),
+    ],
+)
+def test_a_bad_scenario_is_one_line_with_file_place_and_what_was_expected(text, expected, tmp_path, capfd):
+    path = tmp_path / "bad.toml"
+    path.write_text(text if text.startswith("title") else 'title = "x"\n' + text)
+    from onyxhollow.__main__ import main
+
+    assert main(["lab", "run", str(path)]) == 2
+    said = capfd.readouterr().err
+    assert said.count("\n") == 1 and said.startswith("onyxhollow: bad.toml: ") and expected in said
+
+
+def test_shipped_scenarios_are_sound_and_read_back_as_written():
+    names = scenario.shipped()
+    assert len(names) >= 24
+    for name in names:
+        day = scenario.read(name)
+        assert day.title == name and day.about
+        assert scenario.decode(scenario.encode(day), name) == day
+
+
+def test_a_recorded_day_is_played_and_a_bad_record_is_one_line(tmp_path, capfd):
+    from onyxhollow.__main__ import main
+
+    record = tmp_path / "arrivals"
+    record.write_text("1.0\n2.5\n2.6\n")
+    clients = msgspec.structs.replace(small().clients, record=str(record))
+    world = World(small(clients=clients), 1)
+    assert [wish.due for wish in world.wishes if not wish.stands] == [1.0, 2.5, 2.6]
+    record.write_text("soon\n")
+    path = tmp_path / "day.toml"
+    path.write_bytes(scenario.encode(small(clients=clients)))
+    assert main(["lab", "run", str(path)]) == 2
+    assert "$.clients.record" in capfd.readouterr().err
+    assert main(["lab", "run", "calm", "--policy", "no such; thing"]) == 2
