--- a/onyxhollow/lab/baselines.py
+++ b/onyxhollow/lab/baselines.py
@@ -31,6 +31,11 @@
 
 DRAIN_OVER = 3.0  # seconds over which the connections of a draining server are moved
 ASK_EVERY = 0.5  # seconds until the list is asked again after a failure
+FULL, ROOMY, FAR = (
+    0.95,
+    0.7,
+    0.12,
+)  # TrueState: load that bars a server; gathers groups; worth of its own zone
 HOLD = 0.25  # seconds between looks at what waits for a server
 
 
@@ -223,7 +228,9 @@
             else:
                 self.end(sess)
             return
-        server = self.choose(fit, sess)
+        if (server := self.choose(fit, sess)) is None:
+            self.end(sess)
+            return
         if self.budget.cold(server, now):  # type: ignore[arg-type]
             level = self.budget.grow(server, self.fill(), now)  # type: ignore[arg-type]
             self.budget.tokens[server] = (level - 1.0, now)  # type: ignore[index]
@@ -243,7 +250,7 @@
         else:
             self.host.tear_down(sess.token)
 
-    def choose(self, fit: list[Known], sess: Plain.Session) -> Known:
+    def choose(self, fit: list[Known], sess: Plain.Session) -> Known | None:
         raise NotImplementedError
 
 
@@ -280,23 +287,30 @@
     def truth(self, server: Known) -> servers.Server:
         return self.world.by_name[server.name]
 
-    def choose(self, fit: list[Known], sess: Plain.Session) -> Known:
-        now, mine = self.host.now, self.settings.zone
-        unit = self.world.unit
+    def choose(self, fit: list[Known], sess: Plain.Session) -> Known | None:
+        now, mine, unit = self.host.now, self.settings.zone, self.world.unit
+        group = self.world.group_of(sess.token)
 
-        def after(known: Known) -> float:
-            """Load over capacity once it has the session too."""
+        def look(known: Known) -> tuple[float, bool]:
+            """Load over capacity once it has the session too, and whether its group is there already."""
             server = self.truth(known)
-            if not server.running or server.mute or server.errors or server.state.value == "draining":
-                return 100.0
-            if self.world.cuts and self.world.blocked(self.settings.me, server):
-                return 100.0
+            bad = not server.running or server.mute or server.errors or server.state.value == "draining"
+            if bad or self.world.cuts and self.world.blocked(self.settings.me, server):
+                return 100.0, False
+            there = group < 0 or group in server.groups
             out = sum(1 for other in known.open if not other.standing)
-            wanted = server.demand + server.group_load() + unit * (2 + out)
-            far = 0.0 if known.zone == mine else 0.12
-            return wanted / server.capacity(now) + server.pile / server.capacity(now) + far
-
-        return min(fit, key=lambda s: (after(s), s.name))
+            wanted = server.demand + server.group_load() + unit * (1 + out)
+            wanted += 0.0 if there else self.world.scenario.fleet.group_cost * unit
+            capacity = server.capacity(now)
+            far = 0.0 if known.zone == mine else FAR
+            return wanted / capacity + server.pile / capacity + far, there
+
+        seen = sorted((not there, load, s.name, s) for s in fit for load, there in [look(s)] if load < FULL)
+        roomy = [row for row in seen if row[1] < ROOMY]
+        if roomy:
+            return roomy[0][3]
+        # Where none has room for all, another session would cost those that stand more than it earns.
+        return min(seen, key=lambda row: row[1:3])[3] if seen else None
 
 
 BY_NAME: dict[str, type[Plain]] = {
--- a/onyxhollow/lab/world/servers.py
+++ b/onyxhollow/lab/world/servers.py
@@ -213,7 +213,8 @@
             self.whole[at : at + 4] = [good] * 4
 
     def overflow(self, now: float) -> list[Session]:
-        """Whom it drops when too much is piled up; it keeps as many as fill nine tenths of it."""
+        """Whom it drops when too much is piled up: as many as ask for more than it can do. What is piled
+        up stays; a server guards its memory by this, not its service."""
         how = self.fleet.sheds
         capacity = self.capacity(now)
         if how == "nothing" or self.pile <= self.fleet.sheds_at * capacity or self.mute:
@@ -223,13 +224,13 @@
             order.reverse()
         else:
             order.sort(key=lambda sess: -sess.load)
-        over, dropped = self.demand + self.group_load() - 0.9 * capacity, []
+        over, dropped = self.demand + self.group_load() - capacity, []
         for sess in order:
             if over <= 0:
                 break
             over -= sess.load
             dropped.append(sess)
-        self.pile = 0.5 * self.pile
+        self.pile = self.fleet.sheds_at * capacity
         return dropped
 
     def told_load(self, now: float, noise: float) -> float:
--- a/onyxhollow/lab/world/world.py
+++ b/onyxhollow/lab/world/world.py
@@ -595,6 +595,11 @@
             wait += self.store.ask(now)
         return verdict, wait
 
+    def group_of(self, token: object) -> int:
+        """The group of a session by the token that an engine gave it; -1: none."""
+        sess = getattr(token, "sess", None)
+        return sess.client.group if isinstance(sess, Session) else -1
+
     # links and proxies
 
     def blocked(self, proxy: int, server: Server) -> str:
