The lab on sockets: real proxies among stand-ins that speak the protocol, faults included

onyxhollow/lab/sockets carries the same world in real time: servers with a door for each proxy (so that one link can be cut), the server list over HTTP, clients good and bad, proxies as child processes that are crashed, stalled, stopped and restarted by the same fault classes.

--- a/onyxhollow/lab/cli.py
+++ b/onyxhollow/lab/cli.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import argparse
+import json
+import os
 import sys
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 from rich.console import Console
+from rich.progress import Progress
 from rich.table import Table
 
-from onyxhollow.lab import decisions, runs, scenario
+from onyxhollow.lab import decisions, experiment, runs, scenario
 
 LOST_SHOWN = 0.0005  # share of the wanted utility from which a cause gets a line
 
@@ -28,6 +32,27 @@
     run.add_argument("--seed", type=int, default=1)
     run.add_argument("--policy", default="module", help="a name of list, or a commit of this repository")
     run.add_argument("--json", metavar="FILE", help="all figures, with series for reports")
+    run.add_argument("--engine", choices=("virtual", "sockets"), default="virtual")
+    run.add_argument("--logs", type=Path, help="on sockets: where the proxies' logs stay")
+    for name, does in (
+        ("experiment", "scenarios x policies x seeds; resumable"),
+        ("compare", "is B better than A, where, by how much, how sure"),
+    ):
+        command = commands.add_parser(name, help=does)
+        if name == "compare":
+            command.add_argument("a", help="a policy")
+            command.add_argument("b", help="a policy")
+        else:
+            command.add_argument(
+                "--policies", default="module,true-state,two-choices", help="names, by comma"
+            )
+        command.add_argument(
+            "--scenarios", default="", help="names or files, by comma; else all but the grown ones"
+        )
+        command.add_argument("--seeds", type=int, default=5, metavar="N", help="1 to N")
+        command.add_argument("--jobs", type=int, default=os.cpu_count() or 1, help="processes")
+        command.add_argument("--dir", type=Path, default=Path("found/lab"), help="where runs are kept")
+        command.add_argument("--json", metavar="FILE", help="the figures for programs")
     return top
 
 
@@ -60,11 +85,91 @@
 
 
 def do_run(told: argparse.Namespace) -> int:
-    figures = runs.play(scenario.read(told.scenario), told.seed, told.policy, series=bool(told.json))
+    day = scenario.read(told.scenario)
+    with Progress(*Progress.get_default_columns(), console=Console(stderr=True), transient=True) as bar:
+        task = bar.add_task("seconds", total=day.seconds, visible=told.engine == "sockets")
+        figures = runs.play(
+            day,
+            told.seed,
+            told.policy,
+            bool(told.json),
+            told.engine,
+            told.logs,
+            lambda now, of: bar.update(task, completed=now),
+        )
     if told.json:
         Path(told.json).write_bytes(runs.text(figures))
     summary(figures, Console())
-    return 0 if figures["rules"]["clean"] else 1
+    found = figures.get("sockets", {})
+    for what in ("void", "crashes", "complaints", "failures"):
+        if found.get(what):
+            print(f"{what}: {found[what]}")
+    sound = not any(found.get(what) for what in ("void", "crashes", "complaints", "failures"))
+    return 0 if figures["rules"]["clean"] and sound else 1
+
+
+def days(told: argparse.Namespace) -> list[scenario.Scenario]:
+    names = told.scenarios.split(",") if told.scenarios else []
+    return [
+        scenario.read(name) for name in names or scenario.shipped() if names or not name.startswith("grown")
+    ]
+
+
+def carried_out(told: argparse.Namespace, policies: list[str]) -> list[dict[str, Any]]:
+    """The runs of an experiment, with a bar on standard error where somebody looks."""
+    if told.seeds < 1 or told.jobs < 1:
+        raise runs.RunError(f"--seeds and --jobs: expected 1 or more, got {told.seeds} and {told.jobs}")
+    cells = experiment.matrix(days(told), policies, range(1, told.seeds + 1))
+    with Progress(*Progress.get_default_columns(), console=Console(stderr=True), transient=True) as bar:
+        task = bar.add_task("runs", total=len(cells))
+        return experiment.carry_out(
+            cells, told.dir, told.jobs, lambda done, of: bar.update(task, completed=done)
+        )
+
+
+def do_experiment(told: argparse.Namespace) -> int:
+    policies = told.policies.split(",")
+    got = carried_out(told, policies)
+    table = Table("scenario", *policies, box=None)
+    titles = list(dict.fromkeys(run["scenario"] for run in got))
+    means: dict[str, dict[str, float]] = {}
+    for title in titles:
+        scores = {
+            name: [run["score"] for run in got if run["scenario"] == title and run["policy"] == name]
+            for name in policies
+        }
+        means[title] = {name: sum(row) / len(row) for name, row in scores.items()}
+        table.add_row(title, *(f"{means[title][name]:.4f}" for name in policies))
+    table.add_row(
+        "mean", *(f"{sum(row[name] for row in means.values()) / len(means):.4f}" for name in policies)
+    )
+    Console().print(table)
+    broken = [run for run in got if not run["rules"]["clean"]]
+    for run in broken[:20]:
+        where = f"{run['scenario']}, {run['policy']}, seed {run['seed']}"
+        print(f"rules broken: {where}: {run['rules']['first'][0]}")
+    if told.json:
+        Path(told.json).write_text(json.dumps({"means": means, "runs": len(got), "broken": len(broken)}))
+    return 0
+
+
+def do_compare(told: argparse.Namespace) -> int:
+    found = experiment.compare(carried_out(told, [told.a, told.b]), told.a, told.b)
+    table = Table("scenario", told.a, told.b, "difference", "95%", "", "rules broken", box=None)
+    for row in found:
+        table.add_row(
+            row.title,
+            f"{row.mean_a:.4f}",
+            f"{row.mean_b:.4f}",
+            f"{row.difference:+.4f}",
+            f"{row.low:+.4f} to {row.high:+.4f}",
+            row.verdict,
+            f"{row.broken_a}, {row.broken_b}" if row.broken_a or row.broken_b else "",
+        )
+    Console().print(table)
+    if told.json:
+        Path(told.json).write_text(json.dumps([asdict(row) for row in found]))
+    return 0
 
 
 def summary(figures: dict[str, Any], console: Console) -> None:
--- a/onyxhollow/lab/decisions.py
+++ b/onyxhollow/lab/decisions.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import inspect
+import re
 import subprocess
 import sys
 import types
 from collections.abc import Callable
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from onyxhollow import policy
@@ -48,36 +50,29 @@
 ABLATIONS = ("no-distrust", "no-hand-off", "no-cold-budget", "no-probing", "no-gate")
 
 
-def at_revision(revision: str) -> type[policy.Balancer]:
-    """policy.py of an earlier commit of this repository, on today's interface. Raises PolicyError."""
-    if (
-        not revision.replace("-", "")
-        .replace("~", "")
-        .replace("^", "")
-        .replace("/", "")
-        .replace("_", "")
-        .isalnum()
-    ):
-        raise PolicyError(f"policy {revision!r}: expected a name of onyxhollow lab list, or a commit")
-    asked = [
-        "git",
-        "-C",
-        str(__file__).rpartition("/onyxhollow/")[0],
-        "show",
-        f"{revision}:onyxhollow/policy.py",
-    ]
+def text_at(revision: str) -> str:
+    """policy.py as it stood at a commit of this repository. Raises PolicyError."""
+    wanted = f"policy {revision}: expected a name of onyxhollow lab list, or a commit with policy.py"
+    if not re.fullmatch(r"[0-9A-Za-z][0-9A-Za-z_./~^-]{0,80}", revision):
+        raise PolicyError(wanted)  # an option of git's, for one
+    root = str(Path(__file__).resolve().parents[2])
+    asked = ["git", "-C", root, "show", f"{revision}:onyxhollow/policy.py"]
     try:
         got = subprocess.run(asked, capture_output=True, text=True, timeout=20, check=False)
     except OSError as error:
         raise PolicyError(f"policy {revision}: git: {error.strerror}") from None
     if got.returncode:
-        raise PolicyError(
-            f"policy {revision}: expected a name of onyxhollow lab list, or a commit with policy.py"
-        )
+        raise PolicyError(wanted)
+    return got.stdout
+
+
+def at_revision(revision: str) -> type[policy.Balancer]:
+    """The module of an earlier commit, on today's interface. Raises PolicyError."""
+    source = text_at(revision)
     module = types.ModuleType(f"onyxhollow_policy_{revision}")
     sys.modules[module.__name__] = module
     try:
-        exec(compile(got.stdout, f"{revision}:onyxhollow/policy.py", "exec"), module.__dict__)
+        exec(compile(source, f"{revision}:onyxhollow/policy.py", "exec"), module.__dict__)
     except ImportError as error:
         raise PolicyError(f"policy {revision}: does not fit today's interface: {error}") from None
     balancer: type[policy.Balancer] = module.Balancer
--- a/onyxhollow/lab/runs.py
+++ b/onyxhollow/lab/runs.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -21,17 +23,38 @@
     return hashlib.blake2b(encode(scenario), digest_size=6).hexdigest()
 
 
-def play(scenario: Scenario, seed: int, policy: str, series: bool = False) -> dict[str, Any]:
-    """A run in virtual time. Raises decisions.PolicyError, and RunError for a bad record of arrivals.
+def play(
+    scenario: Scenario,
+    seed: int,
+    policy: str,
+    series: bool = False,
+    engine: str = "virtual",
+    logs: Path | None = None,
+    progress: Callable[[float, float], None] = lambda now, of: None,
+) -> dict[str, Any]:
+    """A run. Raises decisions.PolicyError, and RunError for what else can't be played.
 
-    The figures hold nothing that differs from one process to another: no wall time, no memory, no path.
+    engine: virtual, or sockets (which plays what serve is made of: the module). logs: where the
+    proxies' logs go. The figures of a virtual run hold nothing that differs from one process to
+    another: no wall time, no path.
     """
     maker = decisions.find(policy)
+    found: dict[str, Any] = {}
+    log: list[Any] = []
     try:
-        engine = Virtual(scenario, seed, maker)
+        if engine == "sockets":
+            from onyxhollow.lab.sockets.engine import play as play_on_sockets
+
+            if policy != "module":
+                raise RunError(f"--policy {policy}: on sockets expected module, which serve carries")
+            world, found = play_on_sockets(scenario, seed, logs, progress)
+        else:
+            virtual = Virtual(scenario, seed, maker)
+            world, log = virtual.run(), virtual.logs
     except (OSError, ValueError) as error:
         raise RunError(f"{scenario.title}: $.clients.record: {error}") from None
-    world = engine.run()
+    except RuntimeError as error:
+        raise RunError(f"{scenario.title}: {error}") from None
     verdict = world.referee.verdict()
     figures = world.ledger.figures()
     told: dict[str, Any] = {
@@ -39,7 +62,7 @@
         "digest": digest(scenario),
         "seed": seed,
         "policy": policy,
-        "engine": "virtual",
+        "engine": engine,
         "score": figures["figure"] if verdict["clean"] else 0.0,
         **figures,
         "rules": verdict,
@@ -50,9 +73,11 @@
         "crossings": world.crossings,
         "faults": [[begin, end, kind] for begin, end, kind in world.fault_marks],
     }
+    if found:
+        told["sockets"] = found
     if series:
         told["series"] = world.ledger.series()
-        told["log"] = [list(line) for line in engine.logs]
+        told["log"] = [list(line) for line in log]
     return told
 
 
--- /dev/null
+++ b/onyxhollow/lab/sockets/discovery.py
@@ -0,0 +1,150 @@
+"""A stand-in for the server list: HTTP/1.1 by h11, whole lists and watches, one address for each proxy."""
+
+from __future__ import annotations
+
+import math
+import socket
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+import orjson
+
+from onyxhollow.lab.sockets.lines import Lines, accepting, listening
+from onyxhollow.lab.world.listing import GONE, Row
+
+if TYPE_CHECKING:
+    from onyxhollow.lab.sockets.engine import Sockets
+
+HEALTH = {"in service": "active", "draining": "leaving", "gone": "left"}
+STILL_WATCHING = 0.2  # seconds from the last answer within which the next call continues a watch
+
+
+class Asker:
+    """One connection of a proxy to the list."""
+
+    def __init__(self, desk: Desk, sock: socket.socket) -> None:
+        self.desk, self.waiting = desk, 0
+        self.lines = Lines(desk.engine.loop, sock, self.got, self.ended)
+        self.lines.raw = True
+        self.speaker = h11.Connection(h11.SERVER)
+
+    def got(self, data: bytes) -> None:
+        try:
+            self.speaker.receive_data(data)
+            while True:
+                event = self.speaker.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.Request):
+                    self.target = event.target.decode()
+                elif isinstance(event, h11.EndOfMessage):
+                    self.asked(self.target)
+                elif isinstance(event, h11.ConnectionClosed):
+                    return
+        except h11.RemoteProtocolError as error:
+            self.desk.engine.complain(f"list: {error}")
+            self.lines.close()
+
+    def asked(self, target: str) -> None:
+        told = parse_qs(urlsplit(target).query)
+        seen, wait = int(told.get("index", ["-1"])[0]), min(60.0, int(told.get("wait", ["0"])[0]) / 1000)
+        desk, engine = self.desk, self.desk.engine
+        engine.world.referee.asks(engine.now, desk.proxy)
+        engine.world.list.calls += 1
+        if engine.world.list.down:
+            self.answer(503, {})
+            return
+        if seen < 0 or engine.world.list.version > seen:
+            self.tell(seen)
+            return
+        self.waiting += 1
+        desk.watchers[self] = seen
+        engine.world.referee.watching(desk.proxy, True)
+        engine.world.agenda.after(wait, self.waited, self.waiting)
+
+    def waited(self, which: int) -> None:
+        if self.desk.watchers.get(self) is not None and which == self.waiting:
+            self.tell(self.desk.watchers.pop(self))
+
+    def tell(self, seen: int) -> None:
+        self.desk.watchers.pop(self, None)
+        engine, shown = self.desk.engine, self.desk.engine.world.list
+        whole = seen < 0 or (bool(shown.changes) and shown.changes[0][0] > seen + 1)
+        rows = (
+            list(shown.rows.values()) if whole else [row for version, row in shown.changes if version > seen]
+        )
+        shown.lines_sent += len(rows)
+        self.answer(
+            200, {"seq": shown.version, "whole": whole, "hosts": [self.desk.row(row) for row in rows]}
+        )
+        for row in rows:
+            engine.world.referee.heard(engine.now, self.desk.proxy, row.name, row.readiness, row.started)
+        engine.world.agenda.after(STILL_WATCHING, self.desk.lapse, engine.now)
+        self.desk.told_at = engine.now
+
+    def answer(self, status: int, body: Any) -> None:
+        text = orjson.dumps(body)
+        head = h11.Response(status_code=status, headers=[("Content-Length", str(len(text)))])
+        parts = (head, h11.Data(data=text), h11.EndOfMessage())
+        try:
+            self.lines.say(b"".join(self.speaker.send(part) or b"" for part in parts))
+            self.speaker.start_next_cycle()
+        except h11.LocalProtocolError:
+            self.lines.close()
+
+    def ended(self, _: bool) -> None:
+        self.desk.watchers.pop(self, None)
+        self.desk.askers.pop(self, None)
+
+
+class Desk:
+    """Where one proxy asks for the list."""
+
+    def __init__(self, engine: Sockets, proxy: int) -> None:
+        self.engine, self.proxy = engine, proxy
+        self.askers: dict[Asker, None] = {}
+        self.watchers: dict[Asker, int] = {}
+        self.told_at = -math.inf
+        self.sock = listening(("127.0.0.1", 0))
+        self.address: tuple[str, int] = ("127.0.0.1", self.sock.getsockname()[1])
+        accepting(engine.loop, self.sock, self.took)
+
+    def took(self, sock: socket.socket) -> None:
+        self.askers[Asker(self, sock)] = None
+
+    def row(self, row: Row) -> dict[str, Any]:
+        host, port = self.engine.door(row.name, self.proxy).address
+        born = 0 if row.started is None else max(1, round(self.engine.unix(row.started) * 1000))
+        return {
+            "host": row.name,
+            "dial": f"{host}:{port}",
+            "site": row.zone,
+            "class": "lab",
+            "block": row.cell,
+            "health": HEALTH[row.readiness],
+            "share": row.size,
+            "born_ms": born if row.readiness != GONE else 0,
+        }
+
+    def lapse(self, told_at: float) -> None:
+        """Nobody has asked again: the watch is over."""
+        if self.told_at == told_at and not self.watchers:
+            self.engine.world.referee.watching(self.proxy, False)
+            self.engine.world.referee.asks(told_at, self.proxy)
+
+    def changed(self) -> None:
+        for asker, seen in list(self.watchers.items()):
+            asker.tell(seen)
+
+    def down(self) -> None:
+        for asker in list(self.askers):
+            asker.lines.close()
+            asker.ended(True)
+        self.engine.world.referee.watching(self.proxy, False)
+        self.engine.world.referee.asks(self.engine.now, self.proxy)
+
+    def close(self) -> None:
+        self.down()
+        self.engine.loop.watch(self.sock.fileno(), 0, None)
+        self.sock.close()
--- a/onyxhollow/lab/world/world.py
+++ b/onyxhollow/lab/world/world.py
@@ -564,7 +564,9 @@
         self.fall_silent(server)
 
     def fall_silent(self, server: Server) -> None:
-        """Proxies will miss what its connections should bring back."""
+        """Proxies will miss what its connections should bring back; real ones do so by themselves."""
+        if getattr(self.engine, "notices_silence", False):
+            return
         for sess in list(server.sessions):
             self.agenda.after(self.network.silence, self.silence, sess)
 
@@ -618,7 +620,8 @@
             for sess in list(server.sessions):
                 if sess.proxy in cut.proxies:
                     self.mute(sess, True)
-                    self.agenda.after(self.network.silence, self.silence, sess)
+                    if not getattr(self.engine, "notices_silence", False):
+                        self.agenda.after(self.network.silence, self.silence, sess)
 
     def mend_links(self, number: int) -> None:
         cut = self.cuts.pop(number, None)
