--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# make test: the tests in a virtual environment of their own.  make demo: a small fleet, shown live, 40 s at most.
+PYTHON ?= python3
+VENV ?= .venv-dev
+READY := $(VENV)/.ready
+
+.PHONY: test lint demo clean
+
+$(READY): pyproject.toml requirements.txt
+	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements.txt
+	$(VENV)/bin/pip -q install -e '.[dev]'
+	touch $@
+
+test: $(READY)
+	$(VENV)/bin/python -m pytest -q
+
+lint: $(READY)
+	$(VENV)/bin/ruff check onyxhollow tests benchmarks
+	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports
+
+demo: $(READY)
+	@$(VENV)/bin/python -m onyxhollow lab demo
+
+clean:
+	rm -rf $(VENV) found
--- a/onyxhollow/lab/cli.py
+++ b/onyxhollow/lab/cli.py
@@ -53,6 +53,7 @@
         command.add_argument("--jobs", type=int, default=os.cpu_count() or 1, help="processes")
         command.add_argument("--dir", type=Path, default=Path("found/lab"), help="where runs are kept")
         command.add_argument("--json", metavar="FILE", help="the figures for programs")
+    commands.add_parser("demo", help="a small fleet on sockets, shown live; half a minute")
     return top
 
 
@@ -79,6 +80,12 @@
     return 0
 
 
+def do_demo(_: argparse.Namespace) -> int:
+    from onyxhollow.lab import demo
+
+    return demo.show(Console())
+
+
 def do_show(told: argparse.Namespace) -> int:
     sys.stdout.write(scenario.encode(scenario.read(told.scenario)).decode())
     return 0
