--- a/benchmarks/lab.py
+++ b/benchmarks/lab.py
@@ -31,14 +31,14 @@
 from onyxhollow.lab import broken, decisions, runs, scenario  # noqa: E402
 from onyxhollow.lab.virtual import Virtual  # noqa: E402
 
-# Days like those that the bench's entries were made of: same kinds of trouble, sizes and loads near theirs.
+# Days like the twelve that the bench's entries were made of: the same troubles and sizes, loads near theirs.
 LIKE = """
 title = "{title}"
 [fleet]
 zones = ["a", "b", "c", "d"]
 servers = {servers}
 proxies = {proxies}
-group_cost = 3.0
+group_cost = 2.0
 cold_share = 0.45
 [[fleet.kinds]]
 name = "four"
@@ -67,15 +67,20 @@
 RECONNECT = '[[faults]]\nkind = "reconnect"\nat = 19.0\nlasts = 1.5\nshare = 0.4\n'
 SLOW = '[[faults]]\nkind = "slow"\nat = 12.0\nlasts = 25.0\npart = 0.15\ntimes = 6.0\n'
 COSTLY = '[[faults]]\nkind = "costly"\nat = 12.0\nlasts = 18.0\nshare = 0.02\ntimes = 14.0\n'
-SHRINK = '[[faults]]\nkind = "shrink"\nat = 12.0\nlasts = 14.0\npart = 0.4\ndrain = 4.0\n'
+SHRINK = '[[faults]]\nkind = "shrink"\nat = 12.0\nlasts = 16.0\npart = 0.35\ndrain = 4.0\n'
 DAYS = {
-    "quiet": (13, 4, 0.29, ""),
-    "reconnect": (12, 4, 0.38, RECONNECT),
-    "slow": (12, 4, 0.38, SLOW),
-    "overload": (12, 4, 0.7, RECONNECT),
-    "costly": (17, 5, 0.42, COSTLY),
-    "slow-19": (19, 4, 0.42, SLOW),
-    "shrink": (18, 4, 0.4, SHRINK),
+    "reconnect-13": (13, 4, 0.38, RECONNECT),
+    "reconnect-14": (13, 4, 0.40, RECONNECT),
+    "reconnect-15": (15, 4, 0.42, RECONNECT),
+    "reconnect-16": (16, 5, 0.42, RECONNECT),
+    "shrink-15": (15, 6, 0.40, SHRINK),
+    "shrink-17": (17, 6, 0.40, SHRINK),
+    "shrink-19": (19, 4, 0.40, SHRINK),
+    "slow-12": (12, 4, 0.38, SLOW),
+    "slow-16": (16, 6, 0.42, SLOW),
+    "overload-12": (12, 4, 0.70, COSTLY),
+    "overload-13": (13, 4, 0.70, COSTLY),
+    "overload-14": (13, 4, 0.65, SHRINK),
 }
 MARK = "Ranking for the lab on further days"
 NAMED = {
@@ -130,10 +135,14 @@
     print(f"{'version':16}{'bench':>8}{'lab':>8}   simulated; lab: {len(days)} days x {seeds} seeds")
     for name in sorted(names, key=lambda name: -bench[name]):
         print(f"{name:16}{bench[name]:8.3f}{lab[name]:8.4f}")
+    table = np.array([by[name] for name in names]).reshape(len(names), len(days), seeds)
+    for place, day in enumerate(days):
+        row = " ".join(f"{value:6.3f}" for value in table[:, place].mean(axis=1))
+        print(f"{day.title:14}{row}")
+    print(f"{'':14}{' '.join(f'{name[:6]:>6}' for name in names)}")
     found = spearmanr([bench[name] for name in names], [lab[name] for name in names])
     # How sure that is: seeds drawn again and again.
     rng, width = np.random.default_rng(1), len(days) * seeds
-    table = np.array([by[name] for name in names]).reshape(len(names), len(days), seeds)
     drawn = [
         spearmanr(
             [bench[name] for name in names],
@@ -158,20 +167,24 @@
 began = time.process_time()
 told = runs.play(day, 1, "module")
 assert told["rules"]["clean"]
-print(time.process_time() - began, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024, told["events"])
+memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024
+print(time.process_time() - began, memory, told["events"])
 """
     words = [sys.executable, "-c", code, name, str(seconds or 0)]
     got = subprocess.run(words, capture_output=True, text=True, check=True, cwd=ROOT).stdout.split()
     print(
-        f"{name}{f' ({seconds:g} s of it)' if seconds else ''}: {float(got[0]):.1f} s of one core, {got[1]} MB, "
-        f"{got[2]} events, virtual"
+        f"{name}{f' ({seconds:g} s of it)' if seconds else ''}: {float(got[0]):.1f} s, {got[1]} MB, "
+        f"{got[2]} events; one core, virtual"
     )
     return float(got[0]), int(got[1]), int(got[2])
 
 
 def linear() -> float:
-    """Cost of four times the sessions and ticks on the same fleet, over four times the cost: 1 is linear. (The
-    module's own work for a tick grows with the fleet up to its working set of 64; that is not the lab's.)"""
+    """Cost of four times the sessions and ticks on the same fleet, over four times the cost: 1 is linear.
+
+    (The module's own work for a tick grows with the fleet up to its working set of 64; that is not the
+    lab's.)
+    """
 
     def cost(times: int) -> float:
         text = (
@@ -265,8 +278,12 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--quick", action="store_true")
     parser.add_argument("--seeds", type=int, default=8)
+    parser.add_argument("--ranking", action="store_true", help="that part alone")
     told = parser.parse_args()
     began, out = time.monotonic(), dict[str, Any]()
+    if told.ranking:
+        print(json.dumps(ranking(told.seeds)))
+        return
     out["deterministic"] = same_everywhere()
     out["broken_policies_caught"] = caught()
     out["scenarios"] = len(scenario.shipped())
--- a/onyxhollow/lab/cli.py
+++ b/onyxhollow/lab/cli.py
@@ -53,6 +53,18 @@
         command.add_argument("--jobs", type=int, default=os.cpu_count() or 1, help="processes")
         command.add_argument("--dir", type=Path, default=Path("found/lab"), help="where runs are kept")
         command.add_argument("--json", metavar="FILE", help="the figures for programs")
+    seek = commands.add_parser(
+        "search", help="days on which a policy stands farthest under the true-state mark"
+    )
+    seek.add_argument("policy", nargs="?", default="module")
+    seek.add_argument("--days", type=int, default=60, help="drawn")
+    seek.add_argument("--keep", type=int, default=3, help="cut down and written")
+    seek.add_argument("--seed", type=int, default=1)
+    seek.add_argument("--jobs", type=int, default=os.cpu_count() or 1, help="processes")
+    seek.add_argument("--out", type=Path, default=Path("found"), help="where the scenario files go")
+    show = commands.add_parser("report", help="HTML of one run, or of two beside each other")
+    show.add_argument("runs", nargs="+", type=Path, help="files of run --json, or folders of them")
+    show.add_argument("--out", type=Path, help="else beside the first run")
     commands.add_parser("demo", help="a small fleet on sockets, shown live; half a minute")
     return top
 
@@ -86,6 +98,51 @@
     return demo.show(Console())
 
 
+def do_search(told: argparse.Namespace) -> int:
+    from onyxhollow.lab import search
+
+    if told.days < 1 or told.keep < 0 or told.jobs < 1:
+        raise runs.RunError("--days and --jobs: expected 1 or more; --keep: 0 or more")
+    console = Console(stderr=True)
+    found = search.search(told.policy, told.days, told.keep, told.seed, told.jobs, console.print)
+    told.out.mkdir(parents=True, exist_ok=True)
+    for row in found:
+        path = told.out / f"{row.day.title}.toml"
+        path.write_bytes(scenario.encode(row.day))
+        print(f"{path}: {row.gap:.3f} under the mark")
+    return 0
+
+
+def read_run(path: Path) -> dict[str, Any]:
+    try:
+        told = json.loads(path.read_bytes())
+    except (OSError, ValueError) as error:
+        raise runs.RunError(f"{path}: expected a file of run --json: {error}") from None
+    if not isinstance(told, dict) or "series" not in told:
+        raise runs.RunError(f"{path}: expected a file of run --json with series, got none")
+    return told
+
+
+def do_report(told: argparse.Namespace) -> int:
+    """A folder: a page for each run in it that holds its series; files: one page, two of them side by
+    side."""
+    from onyxhollow.lab import report
+
+    for folder in [path for path in told.runs if path.is_dir()]:
+        for path in sorted(folder.glob("*.json")):
+            if b'"series"' in path.read_bytes():
+                report.write([read_run(path)], path.with_suffix(".html"))
+                print(path.with_suffix(".html"))
+    files = [path for path in told.runs if not path.is_dir()]
+    if len(files) > 2:
+        raise runs.RunError(f"report: expected one run or two, got {len(files)}")
+    if files:
+        out = told.out or files[0].with_suffix(".html")
+        report.write([read_run(path) for path in files], out)
+        print(out)
+    return 0
+
+
 def do_show(told: argparse.Namespace) -> int:
     sys.stdout.write(scenario.encode(scenario.read(told.scenario)).decode())
     return 0
@@ -126,6 +183,8 @@
     """The runs of an experiment, with a bar on standard error where somebody looks."""
     if told.seeds < 1 or told.jobs < 1:
         raise runs.RunError(f"--seeds and --jobs: expected 1 or more, got {told.seeds} and {told.jobs}")
+    for name in policies:
+        decisions.find(name)
     cells = experiment.matrix(days(told), policies, range(1, told.seeds + 1))
     with Progress(*Progress.get_default_columns(), console=Console(stderr=True), transient=True) as bar:
         task = bar.add_task("runs", total=len(cells))
--- a/onyxhollow/lab/demo.py
+++ b/onyxhollow/lab/demo.py
@@ -86,8 +86,8 @@
     else:
         kept = f"Something went wrong: {world.referee.verdict()} {found}"
     console.print(f"""
-{len(world.clients)} clients wanted a connection; for {figures["service"]:.1%} of the time that they wanted one \
-they had it and were answered in time.
+{len(world.clients)} clients wanted a connection; for {figures["service"]:.1%} of the time \
+that they wanted one they had it and were answered in time.
 The drained server's clients were moved one after another: {moved} moves by the proxies, \
 {figures["lost"]["moved"]:.1%} of the time lost by it, {cut} connections cut off without a word.
 {again} connections were dropped by their clients or died with a proxy, and came again.
--- a/onyxhollow/lab/world/draws.py
+++ b/onyxhollow/lab/world/draws.py
@@ -115,7 +115,7 @@
     life = np.array([row.life for row in listeners]) * clients.life
     weight = share * life  # of those that stand
     mean_load = float((weight * [row.load for row in listeners]).sum() / weight.sum())
-    unit = 1.0 / (clients.per_core * mean_load)
+    unit = 1.0 / clients.per_core
     standing = clients.load * capacity * clients.per_core
     rate = standing / float((share * life).sum())
 
@@ -145,7 +145,7 @@
     skew = 1.0 + clients.zone_skew * np.linspace(1, -1, zones) if zones > 1 else np.ones(1)
     zone = traits.choice(zones, size=count, p=skew / skew.sum())
     sigmas = np.array([row.load_sigma for row in listeners])[which]
-    scale = np.array([row.load for row in listeners])[which] * unit
+    scale = np.array([row.load for row in listeners])[which] * unit / mean_load
     load = scale * np.exp(sigmas * traits.standard_normal(count) - sigmas**2 / 2)
     groups = max(1, round(standing / clients.group_size))
     if clients.group_size > 1:
--- /dev/null
+++ b/tests/test_lab_tools.py
@@ -0,0 +1,128 @@
+"""Experiments, comparison, search and reports of the lab."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import xml.etree.ElementTree as ElementTree
+
+import msgspec
+import pytest
+from test_lab import fault, small
+
+from onyxhollow.__main__ import main
+from onyxhollow.lab import experiment, report, runs, scenario, search
+
+DAY = small(fault("crash", at=3.0, lasts=3.0, part=0.5), seconds=8.0)
+POLICIES = ["module", "random"]
+
+
+def test_an_experiment_killed_half_way_goes_on_to_the_same_figures(tmp_path):
+    path = tmp_path / "day.toml"
+    path.write_bytes(scenario.encode(DAY))
+    words = [sys.executable, "-m", "onyxhollow", "lab", "experiment", "--scenarios", str(path), "--policies",
+             "module,random", "--seeds", "30", "--jobs", "2", "--dir", str(tmp_path / "runs")]  # fmt: skip
+    child = subprocess.Popen(
+        words, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True
+    )
+    until = time.monotonic() + 60
+    while not list((tmp_path / "runs").glob("*.json")) and time.monotonic() < until:
+        time.sleep(0.02)
+    os.killpg(child.pid, signal.SIGKILL)
+    child.wait()
+    made = len(list((tmp_path / "runs").glob("*.json")))
+    assert 0 < made < 60
+    seen = []
+    cells = experiment.matrix([DAY], POLICIES, range(1, 31))[: made + 4]
+    resumed = experiment.carry_out(cells, tmp_path / "runs", 1, lambda done, _: seen.append(done))
+    assert seen[0] > 0  # taken as they were
+    assert resumed == experiment.carry_out(cells, None, 1)
+
+
+def test_a_torn_file_and_a_changed_scenario_are_played_anew(tmp_path):
+    cells = experiment.matrix([DAY], ["module"], [1])
+    first = experiment.carry_out(cells, tmp_path, 1)
+    file = next(tmp_path.glob("*.json"))
+    file.write_bytes(file.read_bytes()[:100])
+    assert experiment.carry_out(cells, tmp_path, 1) == first
+    other = experiment.matrix([msgspec.structs.replace(DAY, seconds=7.0)], ["module"], [1])
+    assert experiment.carry_out(other, tmp_path, 1) != first and len(list(tmp_path.glob("*.json"))) == 2
+
+
+def test_comparison_pairs_by_seed_and_tells_how_sure_it_is():
+    def run(policy, seed, score):
+        return {"scenario": "x", "policy": policy, "seed": seed, "score": score, "rules": {"clean": True}}
+
+    hard = [0.1, 0.9, 0.4, 0.7, 0.2, 0.6]  # seeds differ far more than the policies
+    told = [run("a", seed, level) for seed, level in enumerate(hard)]
+    better = told + [run("b", seed, level + 0.01 + 0.001 * seed) for seed, level in enumerate(hard)]
+    row = experiment.compare(better, "a", "b")[0]
+    assert row.verdict == "better" and row.low <= row.difference <= row.high
+    assert row.difference == pytest.approx(0.0125)
+    noise = told + [run("b", seed, level + 0.05 * (-1) ** seed) for seed, level in enumerate(hard)]
+    assert experiment.compare(noise, "a", "b")[-1].verdict == "no difference shown"
+    alone = [run("a", 1, 0.5), run("b", 1, 0.9)]
+    assert experiment.compare(alone, "a", "b")[0].verdict == "no difference shown"  # one seed shows nothing
+    assert experiment.compare(told, "a", "b") == []
+
+
+def test_compare_on_the_command_line_finds_the_module_above_random(tmp_path, capfd):
+    path = tmp_path / "day.toml"
+    path.write_bytes(scenario.encode(DAY))
+    words = ["lab", "compare", "random", "module", "--scenarios", str(path), "--seeds", "4", "--jobs", "1",
+             "--dir", str(tmp_path / "runs"), "--json", str(tmp_path / "out.json")]  # fmt: skip
+    assert main(words) == 0
+    rows = json.loads((tmp_path / "out.json").read_text())
+    assert (
+        rows[0]["title"] == "small" and rows[-1]["difference"] > 0.005 and "better" in capfd.readouterr().out
+    )
+    assert main([*words[:2], "random", "no-such", *words[4:]]) == 2
+    assert capfd.readouterr().err.startswith("onyxhollow: policy no-such: expected")
+
+
+def test_a_report_is_one_page_that_needs_no_network(tmp_path):
+    for policy in POLICIES:
+        assert (
+            main(["lab", "run", "once-only", "--policy", policy, "--json", str(tmp_path / f"{policy}.json")])
+            == 0
+        )
+    out = tmp_path / "both.html"
+    files = [str(tmp_path / f"{policy}.json") for policy in POLICIES]
+    assert main(["lab", "report", *files, "--out", str(out)]) == 0
+    text = out.read_text()
+    assert text.count("<svg") == 12 and "fast errors" in text and "random, seed 1" in text
+    assert "<script" not in text and "<link" not in text and "src=" not in text
+    for part in text.split("<svg")[1:]:
+        ElementTree.fromstring("<svg" + part[: part.index("</svg>") + 6])
+    runs_read = [json.loads((tmp_path / f"{policy}.json").read_bytes()) for policy in POLICIES]
+    assert report.page(runs_read) == text  # the same runs, the same page
+    runs_read[0]["scenario"] = "<script>alert(1)</script>"
+    assert "<script" not in report.page(runs_read[:1])
+
+
+def test_a_report_of_what_is_no_run_is_one_line(tmp_path, capfd):
+    bad = tmp_path / "bad.json"
+    bad.write_text("{}")
+    assert main(["lab", "report", str(bad)]) == 2
+    assert "expected a file of run --json" in capfd.readouterr().err
+
+
+def test_search_cuts_a_day_down_to_what_matters(monkeypatch):
+    monkeypatch.setattr(search, "SEEDS", (1,))
+    noise = fault("list_stale", at=2.0, lasts=3.0) + fault("hung", at=2.0, lasts=11.0, part=0.5)
+    day = msgspec.structs.replace(small(noise), title="wide")
+    gap = search.gaps([day], "random", 1)[0]
+    less, left, tries = search.cut_down(day, gap, "random", 1)
+    assert [type(row).__struct_config__.tag for row in less.faults] == ["hung"]
+    assert gap > 0.02 and left >= search.KEEP * gap and tries > 1
+    assert scenario.decode(scenario.encode(less), "found") == less
+
+
+def test_days_drawn_by_search_are_sound_and_follow_the_seed():
+    days = [search.draw_day(search.Random(seed), seed) for seed in range(40)]
+    assert all(search.playable(day) for day in days)
+    assert days == [search.draw_day(search.Random(seed), seed) for seed in range(40)]
+    assert len({type(row) for day in days for row in day.faults}) >= 15
+    assert runs.play(msgspec.structs.replace(days[0], seconds=30.0), 1, "module")["rules"]["clean"]
