--- a/onyxhollow/lab/world/draws.py
+++ b/onyxhollow/lab/world/draws.py
@@ -110,6 +110,7 @@
     wishes: list[Wish]
     unit: float  # load of the average connection, cores
     quotas: list[float]  # open connections within each customer's share
+    usual: list[float]  # load of an average connection of each listener
 
 
 def populate(scenario: Scenario, capacity: float, rates: Rates, seed: int) -> Population:
@@ -178,7 +179,8 @@
         Wish(n, came, ends[n], kinds[n], whose[n], zones_of[n], groups_of[n], loads[n], over[n], n < before)
         for n, came in enumerate(due.tolist())
     ]
-    return Population(wishes, unit, quotas)
+    usual = [row.load * unit / mean_load for row in listeners]
+    return Population(wishes, unit, quotas, usual)
 
 
 def beyond(due: np.ndarray, end: np.ndarray, customer: np.ndarray, quotas: list[float]) -> list[bool]:
--- a/onyxhollow/lab/world/world.py
+++ b/onyxhollow/lab/world/world.py
@@ -109,6 +109,7 @@
             fault.shape(rates, self.listener_names)
         population = populate(scenario, max(1.0, self.capacity), rates, seed)
         self.unit, self.quotas, self.wishes = population.unit, population.quotas, population.wishes
+        self.usual = population.usual
         for server in self.servers:
             server.unit = self.unit
         self.ledger = Ledger(scenario, self.wishes)
@@ -585,7 +586,10 @@
         draw = sess.client.draw()
         spec = self.scenario.listeners[wish.listener]
         work = spec.work * self.tables.exponential(wish.number, draw)
-        verdict, wait = server.offer(now, sess.load, work, sess.proxy, self.tables.uniform(wish.number, draw))
+        # What a session will ask for is known to nobody yet: against cold budgets its listener's usual load
+        # counts, or one costly session would push a server over whatever a policy does.
+        chance = self.tables.uniform(wish.number, draw)
+        verdict, wait = server.offer(now, self.usual[wish.listener], work, sess.proxy, chance)
         if (shares := server.falls(now)) is not None:
             self.ledger.count("cold servers fell")
             self.referee.fell(now, server.name, server.started + server.clock_off, shares)
