--- a/onyxhollow/lab/sockets/proxies.py
+++ b/onyxhollow/lab/sockets/proxies.py
@@ -114,7 +114,6 @@
         self.lives, self.ending = self.lives + 1, False
         log = (self.folder / f"n{self.number}.log").open("ab")
         with log:
-            # -P: the folder that the lab was started in is no place to import from
             self.child = subprocess.Popen(
                 [sys.executable, "-O", "-m", "onyxhollow", "serve", "--config", str(config)],
                 stdin=subprocess.DEVNULL,
