--- a/onyxhollow/lab/sockets/discovery.py
+++ b/onyxhollow/lab/sockets/discovery.py
@@ -70,10 +70,7 @@
     def tell(self, seen: int) -> None:
         self.desk.watchers.pop(self, None)
         engine, shown = self.desk.engine, self.desk.engine.world.list
-        whole = seen < 0 or (bool(shown.changes) and shown.changes[0][0] > seen + 1)
-        rows = (
-            list(shown.rows.values()) if whole else [row for version, row in shown.changes if version > seen]
-        )
+        rows, whole = shown.since(seen)
         shown.lines_sent += len(rows)
         self.answer(
             200, {"seq": shown.version, "whole": whole, "hosts": [self.desk.row(row) for row in rows]}
--- a/onyxhollow/lab/virtual.py
+++ b/onyxhollow/lab/virtual.py
@@ -56,7 +56,7 @@
 
     def __init__(self, engine: Virtual, number: int, rows: list[Row], seen: int, life: int) -> None:
         self.engine, self.number, self.world, self.agenda = engine, number, engine.world, engine.world.agenda
-        self.alive, self.stalled_until, self.stopping = True, 0.0, False
+        self.alive, self.stalled_until = True, 0.0
         self.seen, self.rows = seen, {row.name: row for row in rows}
         self.held: dict[int, Held] = {}
         self.zone = self.world.proxies[number].zone
@@ -287,7 +287,6 @@
             self.dial_over(held, held.dial, DialEnd.CANCELLED if sent_away else DialEnd.RESET)
 
     def stop(self, span: float) -> None:
-        self.stopping = True
         self.later(STILL_COMING, self.stop_step, self.now + span - STOP_MARGIN)
 
     def stop_step(self, last: float) -> None:
@@ -333,7 +332,6 @@
         self.customers = [
             Customer(row.name, row.share, self.world.quotas[n]) for n, row in enumerate(scenario.customers)
         ]
-        self.delays = 0
 
     def settings(self, number: int) -> Settings:
         fleet, proxies = self.scenario.fleet, self.scenario.proxies
--- a/onyxhollow/lab/world/clients.py
+++ b/onyxhollow/lab/world/clients.py
@@ -66,7 +66,6 @@
         "number",
         "client",
         "proxy",
-        "sent",
         "deadline",
         "load",
         "server",
@@ -75,23 +74,18 @@
         "earned_at",
         "answered",
         "over",
-        "again",
         "muted",
-        "first",
     )
 
-    def __init__(
-        self, number: int, client: Client, proxy: int, sent: float, deadline: float, again: bool
-    ) -> None:
+    def __init__(self, number: int, client: Client, proxy: int, deadline: float) -> None:
         self.number, self.client, self.proxy = number, client, proxy
-        self.sent, self.deadline, self.again = sent, deadline, again
+        self.deadline = deadline
         self.load = client.wish.load
         self.server: Server | None = None
         self.slot, self.up_at, self.earned_at = 0, -1.0, 0.0
         self.answered = False  # its client has an answer, or has gone
         self.over = False  # all is over
         self.muted = False  # open, but nothing comes through
-        self.first = not client.was_up
 
     @property
     def key(self) -> tuple[int, int]:
--- a/onyxhollow/lab/world/listing.py
+++ b/onyxhollow/lab/world/listing.py
@@ -91,9 +91,7 @@
         list, and the version; tell: later changes; ended: the watch was broken."""
         now = self.agenda.now
         self.calls += 1
-        missed = [row for version, row in self.changes if version > seen]
-        complete = seen < 0 or (bool(self.changes) and self.changes[0][0] > seen + 1)
-        lines = len(self.rows) if complete else len(missed)
+        lines = len(self.since(seen)[0])
         begins = max(now, self.free_at)
         takes = (self.settings.call_lines + lines) / self.settings.lines
         if self.down or begins + takes - now > self.settings.timeout:
@@ -103,12 +101,11 @@
             return
         self.free_at = begins + takes
         self.lines_sent += lines
-        self.agenda.at(self.free_at, self.answer, proxy, complete, seen, tell, answered, ended)
+        self.agenda.at(self.free_at, self.answer, proxy, seen, tell, answered, ended)
 
     def answer(
         self,
         proxy: int,
-        complete: bool,
         seen: int,
         tell: Callable[[list[Row], int], None],
         answered: Callable[[list[Row] | None, bool, int], None],
@@ -119,9 +116,15 @@
             answered(None, False, seen)
             return
         self.watchers[proxy], self.ended[proxy] = tell, ended
-        rows = list(self.rows.values()) if complete else [row for v, row in self.changes if v > seen]
+        rows, complete = self.since(seen)
         answered(rows, complete, self.version)
 
+    def since(self, seen: int) -> tuple[list[Row], bool]:
+        """What a proxy that has seen a version is told: the changes since, or (True) the whole list."""
+        if seen < 0 or (bool(self.changes) and self.changes[0][0] > seen + 1):
+            return list(self.rows.values()), True
+        return [row for version, row in self.changes if version > seen], False
+
     def forget(self, proxy: int) -> None:
         """The proxy has died; its watch with it."""
         self.watchers.pop(proxy, None)
--- a/onyxhollow/lab/world/world.py
+++ b/onyxhollow/lab/world/world.py
@@ -235,8 +235,7 @@
 
     def new_session(self, client: Client, proxy: int, timeout: float) -> Session:
         self.sessions += 1
-        now = self.agenda.now
-        sess = client.session = Session(self.sessions, client, proxy, now, now + timeout, client.tries > 0)
+        sess = client.session = Session(self.sessions, client, proxy, self.agenda.now + timeout)
         return sess
 
     def open(self, client: Client) -> None:
