Management address with readiness and figures; clients are sent away and taken again

Cause: nothing listened for operators; told to drain, the proxy went on taking clients.

Change: wire/management.py (h11, answered in the descriptor's callback, looked at in the middle of a long turn), wire/figures.py, one place in sessions that counts what a client was told, the stop's mover shared with sending clients away, sessions keep the dials they were taken with, listeners dropped by a reload are taken for 2 s more with their old terms. A file that lacks what the running one has is turned down.

--- a/onyxhollow/__main__.py
+++ b/onyxhollow/__main__.py
@@ -44,6 +44,8 @@
     if told.command == "check":
         settings, (host, port) = config.settings, config.listen
         print(f"{config.name}: listens on {host}:{port}, one of {settings.balancers} balancers")
+        calls = ":".join(map(str, config.management)) if config.management else "nowhere: no management"
+        print(f"operators call {calls}")
         weights = "live" if settings.live_sizes else "sizes"
         how = "asked for" if settings.watched else "pushed"
         print(f"weights {weights}, list {how}, groups {'on' if settings.groups else 'off'}, "
--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -139,6 +139,9 @@
     def resettle(self, settings: Settings) -> None:
         self.balancer.resettle(settings)
 
+    def avoided(self) -> tuple[int, int]:
+        return self.balancer.avoided()
+
     def tick(self) -> None:
         self.balancer.tick()
 
--- a/onyxhollow/lifecycle/config.py
+++ b/onyxhollow/lifecycle/config.py
@@ -24,6 +24,7 @@
     name: str
     listen: Address
     discovery: Address
+    management: Address | None  # where operators call
     seed: int
     sockets: int
     memory: int  # bytes
@@ -31,6 +32,7 @@
     settings: Settings
     connect_time: float  # seconds for a connection to come up
     probe_time: float  # seconds for a probe to be answered
+    keys: frozenset[str] = frozenset()  # all that the file names, but the servers known
 
 
 def read_config(path: str, clock_ahead: float, again: bool = False) -> Config:
@@ -53,12 +55,28 @@
 
 def needs_restart(old: Config, new: Config) -> str:
     """What no running proxy can change and was changed. Seed and known list belong to a start alone."""
-    for name in ("name", "listen"):
+    for name in ("name", "listen", "management"):
         if (was := getattr(old, name)) != (told := getattr(new, name)):
             return f"{name}: expected {was!r} until a restart, got {told!r}"
+    if lacking := sorted(old.keys - new.keys):
+        return f"{lacking[0]}: expected, as in the file in force, got nothing"
     return ""
 
 
+def key_paths(told: Mapping[str, Any], within: str = "") -> frozenset[str]:
+    """The names of all that is told. Of a list of objects those that each of them has: listeners come and go,
+    and one that lacks what all others have is half-written."""
+    found: set[str] = set()
+    for name, value in told.items():
+        path = f"{within}{name}"
+        found.add(path)
+        if isinstance(value, Mapping):
+            found |= key_paths(value, f"{path}.")
+        elif isinstance(value, list) and value and all(isinstance(row, Mapping) for row in value):
+            found |= frozenset.intersection(*(key_paths(row, f"{path}[].") for row in value))
+    return frozenset(found)
+
+
 def decode(told: Mapping[str, Any], environment: Mapping[str, str], clock_ahead: float) -> Config:
     options = section(told, "settings", needed=True)
     settings, _ = read_settings(options)
@@ -68,10 +86,12 @@
     except ValueError:
         raise WireError(f"seed: impossible value {seed[:40]!r}") from None
     limits = section(told, "limits")
+    management = environment.get("LB_MANAGEMENT") or told.get("management")
     return Config(
         name=environment.get("LB_NAME") or text(told, "name", "proxy"),
         listen=read_address(environment.get("LB_LISTEN") or told.get("listen")),
         discovery=read_address(environment.get("LB_DISCOVERY") or told.get("discovery")),
+        management=read_address(management) if management else None,
         seed=start,
         sockets=whole(limits.get("sockets", 1024), "limits: sockets", 64),
         memory=whole(limits.get("memory_mb", 64), "limits: memory_mb", 16) << 20,
@@ -79,4 +99,5 @@
         settings=settings,
         connect_time=seconds(section(options, "ceilings"), "connectTimeoutNs", 1.0) or 1.0,
         probe_time=min(seconds(row, "handshakeTargetNs") for row in rows(options, "listeners")),
+        keys=key_paths({name: None if name == "known" else value for name, value in told.items()}),
     )
--- a/onyxhollow/lifecycle/loop.py
+++ b/onyxhollow/lifecycle/loop.py
@@ -17,6 +17,7 @@
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 STALL = 0.005  # seconds late that a due time may come on a core that others use
 LONGEST_NAP = 1.0  # seconds: a lost wake-up costs no more than this
+SOON = 0.02  # seconds of one turn after which descriptors in a hurry are looked at between its callbacks
 
 
 class Task:
@@ -42,6 +43,7 @@
         self.due: list[tuple[float, int, Task]] = []
         self.counter, self.running, self.now = 0, True, time.monotonic()
         self.stalled = 0.0  # seconds for which this process stood still, by how late its timers came
+        self.hurry: Hurry | None = None
 
     def spawn(self, steps: Coroutine) -> Task:
         task = Task(self, steps)
@@ -108,16 +110,54 @@
         events = self.epoll.poll(nap)
         self.now = time.monotonic()
         for fd, what in events:
-            if fd not in self.watched:
-                continue  # let go by one served before it
-            try:
-                self.watched[fd][1](what)
-            except Exception as error:
-                self.failed("descriptor", error)
+            self.call(fd, what)
+            if self.hurry:
+                self.hurry.look()
         self.fire_due()
         for _ in range(len(self.runnable)):
             self.step(self.runnable.popleft())
+            if self.hurry:
+                self.hurry.look()
+
+    def call(self, fd: int, what: int) -> None:
+        if fd not in self.watched:
+            return  # let go by one served before it
+        try:
+            self.watched[fd][1](what)
+        except Exception as error:
+            self.failed("descriptor", error)
 
     def run(self) -> None:
         while self.running:
             self.turn()
+
+
+class Hurry:
+    """A few descriptors of the loop that are owed an answer soon: looked at in the middle of a long turn too.
+    It stands in for the loop where a channel is given one."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop, self.epoll, self.looked = loop, select.epoll(), 0.0
+        self.spawn = loop.spawn
+        loop.hurry = self
+
+    @property
+    def now(self) -> float:
+        return self.loop.now
+
+    def watch(self, fd: int, events: int, call: Callable[[int], None] | None) -> None:
+        if events and call:
+            if fd not in self.loop.watched:
+                self.epoll.register(fd, events)
+            elif self.loop.watched[fd][0] != events:
+                self.epoll.modify(fd, events)
+        elif fd in self.loop.watched:
+            self.epoll.unregister(fd)
+        self.loop.watch(fd, events, call)
+
+    def look(self) -> None:
+        now = time.monotonic()
+        if now - max(self.looked, self.loop.now) >= SOON:
+            self.looked = now
+            for fd, what in self.epoll.poll(0):
+                self.loop.call(fd, what)
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -22,8 +22,10 @@
 from onyxhollow.memory.buffers import BufferPool
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Addresses
-from onyxhollow.wire.channel import OUR_OWN, listen_socket
+from onyxhollow.wire import figures
+from onyxhollow.wire.channel import OUR_OWN, ListenError, listen_socket
 from onyxhollow.wire.discovery import Discovery
+from onyxhollow.wire.management import PLAIN, Answer, Management
 from onyxhollow.wire.probes import Probes
 from onyxhollow.wire.sessions import Sessions
 
@@ -35,6 +37,7 @@
 STILL_COMING = 0.5  # seconds for which connections go on coming after SIGTERM
 STOP_STEP = 0.05  # seconds from one group of moved clients to the next
 STOP_MARGIN = 0.6  # seconds before SIGKILL by which all clients have been told to move
+AWAY_SPAN = 3.4  # seconds from an operator's word by which all clients have been told to move
 
 
 class Proxy:
@@ -45,7 +48,9 @@
         self.log = Log(out, config.name)
         self.loop = Loop(self.failed)
         self.stopping = False
-        self.listener = listen_socket(config.listen)
+        self.away = 0  # counts the times that clients were sent away; 0: they are taken
+        self.drains = 0
+        self.listener = listen_socket(config.listen, "listen")
         settings = config.settings
         for name, address in config.known.addresses.items():
             self.addresses.learn(name, address)
@@ -69,6 +74,7 @@
             self.loop, self.pool, self.counters, self.addresses, self.facade, settings.listeners,
             settings.customers, settings.load_field, config.connect_time, self.log.event,
         )  # fmt: skip
+        self.management = self.open_management(config)
         self.take_limits(config)
         self.loop.spawn(self.ticks())
         self.loop.watch(self.listener.fileno(), READ, self.accept)
@@ -78,11 +84,73 @@
         longest = max(row.dial_timeout for row in config.settings.listeners.values())
         self.stop_span = min(LONGEST_STOP, longest) + STOP_MORE - STOP_MARGIN
         descriptors = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN
+        if self.management:  # operators are answered when sessions have used up all the rest
+            self.management.most = max(8, min(64, descriptors // 16))
+            descriptors -= self.management.most + 2
         self.accepts_to = descriptors - descriptors // 16  # the last are for dials, probes and the list alone
         self.sessions.descriptors = descriptors - descriptors // 8
         self.probes.most = min(64, descriptors // 8)
         self.pool.full = max(4096, min(32768, config.memory // 8 // descriptors))
 
+    # asked by operators
+
+    def open_management(self, config: Config) -> Management | None:
+        if config.management is None:
+            return None
+        routes: dict[str, dict[str, Callable[[], Answer]]] = {
+            "/control/ready": {"GET": self.tell_ready},
+            "/control/counters": {"GET": self.tell_figures},
+            "/control/out-of-service": {"POST": self.out_of_service},
+            "/control/in-service": {"POST": self.in_service},
+        }
+        return Management(self.loop, config.management, self.counters, routes, self.log.event)
+
+    def tell_ready(self) -> Answer:
+        if self.stopping or self.away:
+            return 503, b"stopping\n" if self.stopping else b"out of service\n", PLAIN
+        return 200, b"ready\n", PLAIN
+
+    def tell_figures(self) -> Answer:
+        counts = self.counters.counts
+        listed, down = self.facade.avoided()
+        refused = counts["reloads refused"]
+        values = (("backend_calls_total", counts["dials written whole"]), ("inflight", self.sessions.taken),
+                  ("hosts_listed", listed), ("hosts_down", down),
+                  ("reconfig_ok_total", counts["reloads"] - refused),
+                  ("reconfig_failed_total", refused))  # fmt: skip
+        return 200, figures.render(self.counters.ends, values), figures.TEXT
+
+    def out_of_service(self) -> Answer:
+        if not self.away and not self.stopping:
+            self.drains += 1
+            self.away, self.sessions.away = self.drains, True
+            self.log.event("out of service", live=self.sessions.taken, within=AWAY_SPAN)
+            self.loop.spawn(self.drain(self.away))
+        return 200, b"out of service\n", PLAIN
+
+    def in_service(self) -> Answer:
+        if self.stopping:
+            return 503, b"stopping\n", PLAIN
+        if self.away:
+            self.away, self.sessions.away, self.sessions.refusing = 0, False, False
+            self.log.event("in service", live=self.sessions.taken)
+        return 200, b"in service\n", PLAIN
+
+    def drain(self, this: int) -> Generator[float, None, None]:
+        """Clients are sent away until an operator takes that back. Sessions that come meanwhile are served
+        and moved in their turn; what comes after the time there is for it is refused."""
+        began = self.loop.now
+        last = began + AWAY_SPAN
+        yield from self.loop.sleep(STILL_COMING)
+        yield from self.send_away(last, lambda: self.away == this)
+        yield from self.loop.sleep(last - self.loop.now)
+        if self.away == this and not self.stopping:
+            self.sessions.refusing = True
+            left = [sess for sess in self.sessions.table.live if sess.opening is not None]
+            for sess in left:
+                sess.stop()
+            self.log.event("sent away", left=len(left), took=round(self.loop.now - began, 2))
+
     # told by the wire
 
     def list_told(self, kind: ListKind, entries: list[Entry]) -> None:
@@ -215,17 +283,9 @@
         reconnect for the others."""
         began, last = self.loop.now, self.loop.now + self.stop_span
         self.log.event("stop", live=len(self.sessions.table), within=round(self.stop_span, 2))
-        while self.sessions.table.live and self.loop.now < last:
-            now = self.loop.now
-            if now >= began + STILL_COMING:
-                self.stop_listening()
-                open_ones = [sess for sess in self.sessions.table.live if sess.open and not sess.stopping]
-                share = STOP_STEP / max(STOP_STEP, last - STOP_MARGIN / 2 - now)
-                for sess in open_ones[: math.ceil(len(open_ones) * share)]:
-                    sess.stop()
-            yield from self.loop.sleep(STOP_STEP)
-        yield from self.loop.sleep(began + STILL_COMING - self.loop.now)
+        yield from self.loop.sleep(STILL_COMING)
         self.stop_listening()
+        yield from self.send_away(last, lambda: bool(self.sessions.table.live))
         for sess in list(self.sessions.table.live):
             sess.stop()
         until = self.loop.now + 0.4  # last lines on their way out
@@ -234,6 +294,15 @@
         self.log.event("stopped", live=len(self.sessions.table), took=round(self.loop.now - began, 2))
         self.loop.running = False
 
+    def send_away(self, last: float, wanted: Callable[[], bool]) -> Generator[float, None, None]:
+        """Moves open connections one after another, spread over the time until `last`."""
+        while wanted() and (now := self.loop.now) < last:
+            open_ones = [sess for sess in self.sessions.table.live if sess.open and not sess.stopping]
+            share = STOP_STEP / max(STOP_STEP, last - STOP_MARGIN / 2 - now)
+            for sess in open_ones[: math.ceil(len(open_ones) * share)]:
+                sess.stop()
+            yield from self.loop.sleep(STOP_STEP)
+
     def stop_listening(self) -> None:
         if self.listener.fileno() >= 0:
             self.accept(0)  # those the system has accepted already are taken
@@ -254,8 +323,8 @@
     try:
         proxy = Proxy(config, clock_ahead, sys.stdout.fileno(),
                       lambda: read_config(path, clock_ahead, again=True))  # fmt: skip
-    except OSError as error:
-        sys.stderr.write(f"listen {config.listen[0]}:{config.listen[1]}: {error.strerror}\n")
+    except ListenError as error:
+        sys.stderr.write(f"onyxhollow: {path}: {error}\n")
         return 2
     proxy.run()
     return 0
--- a/onyxhollow/memory/counters.py
+++ b/onyxhollow/memory/counters.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
+
+ENDS = ACCEPTED, REFUSED, TORN_DOWN = "accepted", "refused", "torn down"  # what a client was told
 
 
 class Counters:
@@ -10,6 +13,16 @@
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
+        self.ends: dict[str, dict[str, int]] = {end: {} for end in ENDS}  # of sessions, by listener
+
+    def open_listeners(self, names: Iterable[str]) -> None:
+        """From now on they stand among the ends; one that is dropped later keeps its counts."""
+        for counts in self.ends.values():
+            for name in names:
+                counts.setdefault(name, 0)
+
+    def ended(self, end: str, listener: str) -> None:
+        self.ends[end][listener] = self.ends[end].get(listener, 0) + 1
 
     def add(self, name: str, amount: int = 1) -> None:
         self.counts[name] += amount
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -131,7 +131,7 @@
                  group: Hashable, give_up: float, load: float | None) -> None:  # fmt: skip
         self.balancer, self.token, self.listener, self.customer = balancer, token, listener, customer
         self.payer = customer.name if customer else ""
-        self.group, self.give_up, self.load = group, give_up, load
+        self.group, self.give_up, self.load, self.most_dials = group, give_up, load, balancer.most_dials
         self.server: Server | None = None
         self.tried, self.drawn, self.asks = list[Server](), list[Server](), 0
         self.dialling = self.standing = self.answered = self.placed = self.waited = False
@@ -360,6 +360,11 @@
                 and self.load_of(server) < FULL_LOAD and server.score(now) <= self.bar
                 and not (sess and (server.leaving or not sess.may_go_to(server, now))))  # fmt: skip
 
+    def avoided(self) -> tuple[int, int]:
+        """Servers in the list, and those passed over for what is wrong with them; a full one is not down."""
+        listed, now = [s for s in self.servers.values() if s.readiness is not Readiness.GONE], self.host.now
+        return len(listed), sum(s.readiness is Readiness.DRAINING or s.score(now) > self.bar for s in listed)
+
     def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
         if kind is ListKind.FAILED:
             self.list_lost, self.list_failures = True, self.list_failures + 1
@@ -568,7 +573,7 @@
         if sess.answered or sess.dialling:
             return
         now, left = self.host.now, sess.give_up - self.host.now
-        spent = (left <= 0 or len(sess.tried) >= self.most_dials
+        spent = (left <= 0 or len(sess.tried) >= sess.most_dials
                  or len(sess.tried) > 0 and not any(sess.may_go_to(s, now) for s in self.fleet))  # fmt: skip
         server = None if spent else self.pick(sess)
         if server is None or self.asking(sess, server, now):
@@ -614,7 +619,7 @@
 
     def dial_time(self, sess: Session, left: float) -> float:
         """Early dials get the handshake target or, if a store slows all, thrice what set-ups take."""
-        if len(sess.tried) >= self.most_dials or sess.listener.repeat is Repeat.ONCE_ONLY:
+        if len(sess.tried) >= sess.most_dials or sess.listener.repeat is Repeat.ONCE_ONLY:
             return left
         usual = self.setting_up.fresh(self.host.now) or 0.0
         return min(left, max(sess.listener.handshake_target, 3.0 * usual))
--- a/onyxhollow/settings.py
+++ b/onyxhollow/settings.py
@@ -81,8 +81,8 @@
     scope = one_of(row, "group", (s.value for s in Scope), "all")
     return Listener(
         name=text(row, "name"),
-        handshake_target=seconds(row, "handshakeTargetNs"),
-        dial_timeout=seconds(row, "dialTimeoutNs"),
+        handshake_target=number(row, "handshakeTargetNs", low=1.0) / 1e9,
+        dial_timeout=number(row, "dialTimeoutNs", low=1.0) / 1e9,
         utility=number(row, "utility", 1.0),
         repeat=REPEATS[semantics],
         scope=Scope(scope),
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -8,7 +8,7 @@
 import struct
 from collections.abc import Callable, Generator
 
-from onyxhollow.lifecycle.loop import READ, WRITE, Loop
+from onyxhollow.lifecycle.loop import READ, WRITE, Hurry, Loop
 from onyxhollow.memory.buffers import BufferPool, LineBuffer
 from onyxhollow.memory.tables import Address
 
@@ -22,7 +22,7 @@
 
 
 class Channel:
-    def __init__(self, loop: Loop, sock: socket.socket, pool: BufferPool, wake: Callable[[], None],
+    def __init__(self, loop: Loop | Hurry, sock: socket.socket, pool: BufferPool, wake: Callable[[], None],
                  connecting: bool = False) -> None:  # fmt: skip
         self.loop, self.sock, self.fd, self.wake = loop, sock, sock.fileno(), wake
         self.pool, self.inbox, self.out = pool, LineBuffer(pool), bytearray()
@@ -200,13 +200,18 @@
             self.close()
 
 
-def listen_socket(address: Address, backlog: int = 1024) -> socket.socket:
+class ListenError(Exception):
+    """An address that can't be listened on."""
+
+
+def listen_socket(address: Address, what: str, backlog: int = 1024) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         sock.bind(address)
         sock.listen(backlog)
-    except OSError:
+    except OSError as error:
         sock.close()
-        raise
+        host, port = address
+        raise ListenError(f"{what}: expected a free address, got {host}:{port}: {error.strerror}") from None
     return sock
--- /dev/null
+++ b/onyxhollow/wire/management.py
@@ -0,0 +1,148 @@
+"""The address for operators: HTTP/1.1, one call to a connection, answered beside whatever else goes on."""
+
+from __future__ import annotations
+
+import math
+import socket
+from collections.abc import Callable, Generator, Mapping
+
+import h11
+
+from onyxhollow.lifecycle.loop import READ, Hurry, Loop
+from onyxhollow.memory.buffers import BufferPool
+from onyxhollow.memory.counters import Counters
+from onyxhollow.memory.tables import Address
+from onyxhollow.wire.channel import Channel, listen_socket
+
+PATIENCE = 5.0  # seconds for a whole call, and for its answer to be read
+LONGEST_HEAD, LONGEST_BODY = 16 * 1024, 64 * 1024  # bytes of a call
+ACCEPTS = 16  # callers taken in one go
+PLAIN = "text/plain; charset=utf-8"
+Answer = tuple[int, bytes, str]  # status, body, its type
+Routes = Mapping[str, Mapping[str, Callable[[], Answer]]]  # by path and method
+
+
+class Management:
+    """Callers are served in their descriptors' own callbacks, and those are looked at in the middle of a long
+    turn of the loop: no session is waited for, and none of theirs is counted among the sessions'."""
+
+    def __init__(self, loop: Loop, address: Address, counters: Counters, routes: Routes,
+                 log: Callable[..., None]) -> None:  # fmt: skip
+        self.listener = listen_socket(address, "management")
+        self.loop, self.hurry, self.pool = loop, Hurry(loop), BufferPool()
+        self.counters, self.routes, self.log = counters, routes, log
+        self.most = 16  # connections; past them the longest without a whole call makes room
+        self.callers: dict[Caller, None] = {}  # without a whole call yet, in order of their coming
+        self.sweeper = loop.spawn(self.sweep())
+        self.hurry.watch(self.listener.fileno(), READ, self.accept)
+
+    def accept(self, _: int) -> None:
+        for _ in range(ACCEPTS):
+            while self.pool.open >= self.most and self.make_room():
+                pass
+            try:
+                sock, _peer = self.listener.accept()
+            except OSError:
+                return  # none, or gone already, or no descriptor: it is told again as long as one waits
+            sock.setblocking(False)
+            self.callers[Caller(self, sock)] = None
+        self.sweeper.wake()
+
+    def make_room(self) -> bool:
+        """Closes one that has been answered, else the one that has said nothing whole for longest."""
+        if self.pool.leaving:
+            next(iter(self.pool.leaving))()
+            return True
+        if (oldest := next(iter(self.callers), None)) is None:
+            return False
+        oldest.channel.ready(READ)  # its call may have come just now
+        if oldest in self.callers:
+            self.counters.add("operators' calls closed for room")
+            oldest.leave()
+        return True
+
+    def sweep(self) -> Generator[float, None, None]:
+        while True:
+            while (oldest := next(iter(self.callers), None)) and self.loop.now >= oldest.came + PATIENCE:
+                self.counters.add("operators' calls given up")
+                oldest.leave()
+            yield oldest.came + PATIENCE if oldest else math.inf
+
+    def find(self, method: str, target: str) -> tuple[Answer, str]:
+        """The answer, and the methods that the path takes if this was none of them."""
+        path = target.partition("#")[0].partition("?")[0]
+        if path.lower().startswith(("http://", "https://")):
+            path = "/" + path.split("/", 3)[3] if path.count("/") >= 3 else "/"
+        if (methods := self.routes.get(path)) is None:
+            return (404, b"no such path\n", PLAIN), ""
+        call = methods.get("GET" if method == "HEAD" else method)
+        if call is None:
+            return (405, b"not this method\n", PLAIN), "GET, HEAD" if "GET" in methods else ", ".join(methods)
+        try:
+            return call(), ""
+        except Exception as error:  # an operator is owed an answer all the same
+            self.loop.failed("management", error)
+            return (500, b"failed\n", PLAIN), ""
+
+    def close(self) -> None:
+        self.hurry.watch(self.listener.fileno(), 0, None)
+        self.listener.close()
+        for caller in list(self.callers):
+            caller.leave()
+
+
+class Caller:
+    def __init__(self, shared: Management, sock: socket.socket) -> None:
+        self.shared, self.came = shared, shared.loop.now
+        self.speaker = h11.Connection(h11.SERVER, max_incomplete_event_size=LONGEST_HEAD)
+        self.asked: h11.Request | None = None
+        self.body = 0
+        self.channel = Channel(shared.hurry, sock, shared.pool, self.step)
+
+    def leave(self) -> None:
+        self.shared.callers.pop(self, None)
+        self.channel.close()
+
+    def step(self) -> None:
+        """Bytes have come, or the end."""
+        if self not in self.shared.callers:
+            return
+        if len(self.channel.inbox):
+            self.speaker.receive_data(self.channel.inbox.rest())
+            self.channel.settle(False)
+        try:
+            while (event := self.speaker.next_event()) is not h11.NEED_DATA:
+                if isinstance(event, h11.Request):
+                    self.asked = event
+                    if self.speaker.they_are_waiting_for_100_continue:
+                        go_on = h11.InformationalResponse(status_code=100, headers=[])
+                        self.channel.write(self.speaker.send(go_on) or b"")
+                elif isinstance(event, h11.Data):
+                    self.body += len(event.data)
+                    if self.body > LONGEST_BODY:
+                        self.answer((413, b"body too long\n", PLAIN))
+                        return
+                elif isinstance(event, h11.EndOfMessage) and self.asked is not None:
+                    found, allowed = self.shared.find(self.asked.method.decode(), self.asked.target.decode())
+                    self.answer(found, allowed)
+                    return
+                else:
+                    break
+        except h11.RemoteProtocolError as error:
+            self.answer((error.error_status_hint, b"not a call that can be read\n", PLAIN))
+            return
+        if self.channel.ended:
+            self.leave()  # half a call, and then the end
+
+    def answer(self, found: Answer, allowed: str = "") -> None:
+        status, body, kind = found
+        self.shared.callers.pop(self, None)
+        self.shared.counters.add(f"operators' calls answered {status}")
+        headers = [("Content-Type", kind), ("Content-Length", str(len(body))), ("Connection", "close")]
+        if allowed:
+            headers.append(("Allow", allowed))
+        head_only = self.asked is not None and self.asked.method == b"HEAD"
+        parts = [h11.Response(status_code=status, headers=headers),
+                 *([] if head_only else [h11.Data(data=body)]), h11.EndOfMessage()]  # fmt: skip
+        self.channel.write(b"".join(self.speaker.send(part) or b"" for part in parts))
+        self.channel.finish(PATIENCE)
--- a/onyxhollow/wire/servers.py
+++ b/onyxhollow/wire/servers.py
@@ -8,6 +8,7 @@
 from onyxhollow.interface import DialEnd
 from onyxhollow.lifecycle.loop import Loop
 from onyxhollow.memory.buffers import BufferPool, LongLineError
+from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Addresses
 from onyxhollow.wire.channel import OUR_OWN, Channel
 from onyxhollow.wire.messages import read_report, rest, word
@@ -26,9 +27,9 @@
 
 
 class Servers:
-    def __init__(self, loop: Loop, pool: BufferPool, addresses: Addresses, load_field: str,
-                 connect_time: float, malformed: Callable[[str], None]) -> None:  # fmt: skip
-        self.loop, self.pool, self.addresses = loop, pool, addresses
+    def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, addresses: Addresses,
+                 load_field: str, connect_time: float, malformed: Callable[[str], None]) -> None:  # fmt: skip
+        self.loop, self.pool, self.counters, self.addresses = loop, pool, counters, addresses
         self.load_field, self.connect_time, self.malformed = load_field, connect_time, malformed
 
     def settle(self, load_field: str, connect_time: float) -> None:
@@ -69,7 +70,11 @@
 
     def answer(self, channel: Channel, until: float,
                given_up: Callable[[], DialEnd | None]) -> Generator[float, None, Dialled]:  # fmt: skip
+        whole = False
         while True:
+            if channel.wrote and not whole:
+                whole = True
+                self.counters.add("dials written whole")
             if (said := channel.line()) is not None:
                 if (first := word(said)) == b"UP":
                     return Dialled(DialEnd.OK, None, channel, bytes(said))
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -12,7 +12,7 @@
 from onyxhollow.interface import Customer, DialEnd, Listener
 from onyxhollow.lifecycle.loop import Loop, Task
 from onyxhollow.memory.buffers import BufferPool, LongLineError
-from onyxhollow.memory.counters import Counters
+from onyxhollow.memory.counters import ACCEPTED, REFUSED, TORN_DOWN, Counters
 from onyxhollow.memory.tables import Addresses, SessionTable
 from onyxhollow.wire.channel import Channel
 from onyxhollow.wire.messages import MalformedError, Opening, read_opening, rest, told_figure, word
@@ -34,7 +34,9 @@
 MOST_STALLED = 2.0  # seconds by which this process' own pauses put that off
 MISSING = 0.5  # seconds after which an echo still out is told as late
 LONG = 0.01  # seconds; echoes that come sooner say how busy this core is, nothing of the server
+DROPPED = 2.0  # seconds for which sessions of a listener dropped by a reload may still be on their way
 LATE_AGAIN = 1.0  # seconds from word to word of late echoes at one server
+AWAY = b"BUSY\r\n"  # to PING while clients are sent away: any line but PONG is a no
 AFTER_ANSWER = {b"BYE": DialEnd.OK, b"MOVE": DialEnd.CANCELLED, b"ERR": DialEnd.ERROR}
 
 
@@ -54,7 +56,11 @@
                  connect_time: float, log: Callable[..., None]) -> None:  # fmt: skip
         self.loop, self.pool, self.counters = loop, pool, counters
         self.facade, self.listeners, self.customers, self.log = facade, listeners, customers, log
-        self.servers = Servers(loop, pool, addresses, load_field, connect_time, self.malformed)
+        self.servers = Servers(loop, pool, counters, addresses, load_field, connect_time, self.malformed)
+        self.dropped: dict[str, tuple[Listener, float]] = {}  # by the last reloads; until when they are taken
+        self.away = self.refusing = False  # the front is told to send nothing here; what comes is refused
+        self.taken = 0  # sessions taken and not ended
+        counters.open_listeners(listeners)
         self.descriptors = 1000  # connections past which room is made
         self.table = SessionTable[ClientSession]()
         self.late_told: dict[str, float] = {}  # when late echoes were last told of, by server
@@ -62,10 +68,19 @@
 
     def settle(self, listeners: dict[str, Listener], customers: dict[str, Customer], load_field: str,
                connect_time: float) -> None:  # fmt: skip
-        """For sessions that come from now on; those taken before keep their listener's terms."""
+        """For sessions that come from now on; those taken before keep their listener's terms. Clients learn
+        of a dropped listener later than this proxy: what is on its way then is served by the old terms."""
+        now, old = self.loop.now, self.listeners
+        self.dropped = {name: kept for name, kept in self.dropped.items() if now < kept[1]}
+        self.dropped |= {name: (row, now + DROPPED) for name, row in old.items() if name not in listeners}
         self.listeners, self.customers = listeners, customers
+        self.counters.open_listeners(listeners)
         self.servers.settle(load_field, connect_time)
 
+    def listener(self, name: str) -> Listener | None:
+        kept, until = self.dropped.get(name, (None, 0.0))
+        return self.listeners.get(name) or (kept if self.loop.now < until else None)
+
     def adopts(self, server: str) -> bool:
         """Whether a connection that was open at this server before the run may still come."""
         return self.loop.now < self.adopts_until and self.servers.addresses.find(server) is not None
@@ -123,6 +138,7 @@
         self.handle: Handle | None = None
         self.opening: Opening | None = None
         self.stopping = self.open = False  # open: UP has been passed on
+        self.told = False  # what became of it has been counted
         self.dials, self.name, self.end = 0, "", ""
         self.out = deque[Moment]()  # when lines went to the server that it has not brought back
         self.heard = self.slowest = 0.0
@@ -147,9 +163,16 @@
         """What can't be read or used is told so at once, whatever else waits on that connection."""
         self.shared.malformed(why, line)
         self.end = "malformed"
+        self.count(TORN_DOWN)
         self.client.write(b"ERR\r\n")
         self.client.finish(ERROR_READ)
 
+    def count(self, end: str) -> None:
+        """The one place where what a client was told is counted: once for each session taken."""
+        if self.opening is not None and not self.told:
+            self.told = True
+            self.counters.ended(end, self.opening.listener)
+
     def run(self) -> Steps:
         raw = b""
         try:
@@ -172,6 +195,7 @@
                 if channel is not None and channel.wake == self.wake:
                     channel.close()
             if self.opening is not None:
+                self.shared.taken -= 1
                 self.shared.log("session", id=self.opening.name, server=self.name, dials=self.dials,
                                 end=self.end, echoes=self.echoes, slowest=round(self.slowest, 4))  # fmt: skip
 
@@ -189,7 +213,7 @@
                     pings, since = 0, self.loop.now
                 if (pings := pings + 1) > PINGS:
                     raise MalformedError("too many PINGs")
-                client.write(b"PONG\r\n")
+                client.write(AWAY if self.shared.away else b"PONG\r\n")
                 until = self.loop.now + FRONT_LINE
             elif client.ended or self.loop.now >= until or self.stopping:
                 table.asked(self)
@@ -208,7 +232,7 @@
 
     def serve(self, opening: Opening) -> Steps:
         shared = self.shared
-        listener = shared.listeners.get(opening.listener)
+        listener = shared.listener(opening.listener)
         if listener is None:
             raise MalformedError(f"no such listener {opening.listener[:40]!r}")
         if opening.at is not None and not shared.adopts(opening.at):
@@ -220,6 +244,7 @@
         if not shared.table.take(opening.name):
             raise MalformedError("the id of another session")
         self.opening = opening
+        shared.taken += 1
         customer = shared.customers.get(opening.customer)
         self.counters.add("sessions taken")
         if opening.at is not None:
@@ -232,7 +257,7 @@
             self.answer(True)
             return
         took_at = self.loop.now
-        left = opening.left - min(HURRY, opening.left / 10)
+        left = -math.inf if shared.refusing else opening.left - min(HURRY, opening.left / 10)
         handle = self.handle = shared.facade.take(
             self.wake, listener, customer, opening.group, left, opening.load
         )
@@ -292,6 +317,7 @@
     def answer(self, refused: bool, retry_after: float = 0.0) -> None:
         self.counters.must(not self.open and not self.end, "one answer to a session")
         self.counters.add("sessions refused" if refused else "sessions torn down")
+        self.count(REFUSED if refused else TORN_DOWN)
         self.end = "refused" if refused else "torn down"
         if not refused:
             self.client.write(b"ERR\r\n")
@@ -309,6 +335,7 @@
             return Dialled(DialEnd.CANCELLED)
         if dialled.channel is not None:
             self.server, self.open = dialled.channel, True
+            self.count(ACCEPTED)
             self.client.write(dialled.receipt)
         return dialled
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -123,15 +123,15 @@
 class Loopback:
     """One proxy on loopback among toys, turned by hand."""
 
-    def __init__(self, servers="a", known=True, sockets=500, **changes):
+    def __init__(self, servers="a", known=True, sockets=500, management=None, **changes):
         self.toys, self.opened = {name: Toy() for name in servers}, 0
         self.list = Toy()
         rows = [self.row(name) for name in servers] if known else []
         settings = replace(PLAIN, **{"most_dials": 2, "watched": True, **changes})
         told = {"seq": 7, "whole": True, "hosts": rows}
-        self.config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", self.list.port), seed=5, sockets=sockets,
-                        memory=64 << 20, known=read_list(told, 0.0), settings=settings, connect_time=0.25,
-                        probe_time=0.3)  # fmt: skip
+        self.config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", self.list.port), management, seed=5,
+                        sockets=sockets, memory=64 << 20, known=read_list(told, 0.0), settings=settings,
+                        connect_time=0.25, probe_time=0.3)  # fmt: skip
         reader, writer = os.pipe()
         os.set_blocking(writer, False)
         os.set_blocking(reader, False)
@@ -161,6 +161,19 @@
             peer.say(text)
         return peer
 
+    def operator(self, text=b""):
+        peer = Peer(socket.create_connection(self.proxy.management.listener.getsockname()))
+        peer.say(text)
+        return peer
+
+    def ask(self, target, method="GET"):
+        """An operator's call: status and body."""
+        peer = self.operator(f"{method} /control/{target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        self.until(lambda: peer.read() and peer.end)
+        assert peer.end == "closed"
+        head, _, body = peer.got.partition(b"\r\n\r\n")
+        return int(head.split()[1]), body.decode()
+
     def open(self, listener="calls", wait=2000):
         self.opened += 1  # an id is new with every connection
         return self.client(b"OPEN 9b1f%d 7f3a c=%s,d=%d\r\n" % (self.opened, listener.encode(), wait))
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,299 @@
+"""Day-to-day service: what operators ask for, each story told on loopback."""
+
+import json
+import os
+import socket
+from dataclasses import replace
+
+import pytest
+from conftest import CALLS
+from prometheus_client.parser import text_string_to_metric_families
+
+from onyxhollow.__main__ import main
+from onyxhollow.interface import Repeat
+from onyxhollow.lifecycle import loop as loops
+from onyxhollow.lifecycle import proxy as proxies
+from onyxhollow.lifecycle.config import ConfigError, decode, needs_restart, read_config
+from onyxhollow.memory.counters import Counters
+from onyxhollow.wire import figures, sessions
+
+OPERATORS = ("127.0.0.1", 0)
+BOTH = {"calls": CALLS, "once": replace(CALLS, name="once", repeat=Repeat.ONCE_ONLY)}
+END = b" HTTP/1.1\r\nHost: x\r\n\r\n"
+READY = b"GET /control/ready"
+
+
+@pytest.fixture
+def served(loopback):
+    return lambda servers="a", **changes: loopback(servers, management=OPERATORS, **changes)
+
+
+def read_figures(text):
+    return {(row.name, row.labels.get("tier")): row.value
+            for family in text_string_to_metric_families(text) for row in family.samples}  # fmt: skip
+
+
+@pytest.mark.parametrize("said, status, also", [
+    (READY + END, 200, b"ready"),
+    (READY + b"?verbose=1" + END, 200, b"ready"),
+    (b"GET http://10.0.0.1:99/control/ready" + END, 200, b"ready"),
+    (READY + END + READY + END + b"x" * 20000, 200, b"ready"),
+    (READY + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", 200, b"ready"),
+    (READY + b" HTTP/1.0\r\n\r\n", 200, b"ready"),
+    (b"HEAD /control/ready" + END, 200, b"Content-Length: 6"),
+    (b"GET *" + END, 404, b""),
+    (b"GET /control/ready/" + END, 404, b""),
+    (b"POST /control/ready" + END, 405, b"Allow: GET, HEAD"),
+    (b"GET /control/in-service" + END, 405, b"Allow: POST"),
+    (b"OPEN 9b1f 7f3a c=calls,d=2000\r\n\r\n", 400, b""),
+    (b"\x16\x03\x01\x02\x00\x01\r\n\r\n", 400, b""),
+    (READY + b" HTTP/1.1\r\n\r\n", 400, b""),
+    (READY + b" HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 20000, 431, b""),
+    (READY + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 99999\r\n\r\n" + b"z" * 99999, 413, b""),
+])  # fmt: skip
+@pytest.mark.parametrize("piece", [1, 10**6])
+def test_every_call_is_answered_once_and_its_answer_can_be_read(served, said, status, also, piece):
+    proxy = served()
+    caller = proxy.operator()
+    for start in range(0, len(said), piece if len(said) < 200 else 10**6):
+        caller.say(said[start : start + piece if len(said) < 200 else None])
+        proxy.proxy.loop.turn(0.0)
+    proxy.until(lambda: caller.read() and caller.end)
+    assert caller.end == "closed" and caller.got.startswith(b"HTTP/1.1 %d " % status) and also in caller.got
+    assert caller.got.count(b"HTTP/1.1") == 1 and b"Connection: close" in caller.got
+
+
+def test_a_crowd_of_silent_callers_delays_nobody_and_is_bounded(served):
+    proxy = served()
+    crowd = [proxy.operator(READY) for _ in range(200)]
+    caller = proxy.operator(READY + END)
+    proxy.until(lambda: caller.read(), within=1.0)
+    assert b" 200 " in caller.got and proxy.proxy.management.pool.open <= proxy.proxy.management.most
+    assert not proxy.proxy.pool.open  # none of it is counted among the sessions' connections
+    proxy.until(lambda: sum(bool(peer.read() == b"" and peer.end) for peer in crowd) >= 150)
+
+
+def test_half_a_call_is_given_up_and_half_closed_whole_ones_are_answered(served):
+    proxy = served()
+    half, whole, left = proxy.operator(READY), proxy.operator(READY + END), proxy.operator(READY)
+    whole.sock.shutdown(socket.SHUT_WR)
+    left.sock.shutdown(socket.SHUT_WR)
+    proxy.until(lambda: whole.read() and whole.end and not left.read() and left.end)
+    assert b" 200 " in whole.got and not half.end
+    (caller,) = proxy.proxy.management.callers
+    caller.came -= 5.0
+    proxy.proxy.management.sweeper.wake()
+    proxy.until(lambda: not half.read() and half.end)
+
+
+def test_operators_are_answered_when_sessions_have_no_descriptor_left(served, monkeypatch):
+    proxy = served(sockets=64)
+    idle = [proxy.client() for _ in range(60)]
+    proxy.until(lambda: proxy.counts["accepts put off for want of room"])
+
+    assert len(idle) == 60 and proxy.ask("ready") == (200, "ready\n")
+
+
+def test_operators_are_served_in_the_middle_of_a_long_turn(served, monkeypatch):
+    monkeypatch.setattr(loops, "SOON", 0.0)
+    proxy, order = served(), []
+    loop = proxy.proxy.loop
+    caller = proxy.operator(READY + END)
+    for number in range(20):
+        reader, writer = os.pipe()
+        os.write(writer, b"x")
+
+        def busy(_, number=number, fd=reader):
+            order.append((number, bool(caller.read())))
+            loop.watch(fd, 0, None)
+
+        loop.watch(reader, loops.READ, busy)
+    loop.turn(0.0)
+    assert len(order) == 20 and order[-1][1]  # the last of one turn's callbacks came after the answer
+
+
+def test_each_session_counts_once_under_what_its_client_was_told(served):
+    proxy = served("a", listeners=BOTH)
+    assert read_figures(proxy.ask("counters")[1])["lb_busy_total", "once"] == 0
+    client, server = proxy.standing()
+    told = read_figures(proxy.ask("counters")[1])
+    assert told["lb_inflight", None] == told["lb_backend_calls_total", None] == 1
+    proxy.client(b"OPEN zz 7f3a c=nobody,d=2000\r\n")  # a bad client's is none
+    server.say(b"BYE\r\n")
+    server.sock.close()
+    proxy.until(lambda: client.read().endswith(b"BYE\r\n"))
+    torn = proxy.open("once")
+    proxy.until(lambda: proxy.toys["a"].asked(2)).say(b"ERR\r\n")
+    proxy.until(lambda: torn.read() == b"ERR\r\n")
+    proxy.toys["a"].sock.close()
+    refused = proxy.open("calls")
+    proxy.until(lambda: refused.read() == b"BUSY\r\n")
+    left = proxy.open("calls")
+    left.sock.close()
+    proxy.until(lambda: not proxy.proxy.sessions.table.live)
+    told = read_figures(proxy.ask("counters")[1])
+    ends = {key: value for key, value in told.items() if key[1]}
+    assert ends == {
+        ("lb_success_total", "calls"): 1, ("lb_success_total", "once"): 0,
+        ("lb_busy_total", "calls"): 1, ("lb_busy_total", "once"): 0,
+        ("lb_failure_total", "calls"): 0, ("lb_failure_total", "once"): 1,
+    }  # fmt: skip
+    # Nothing was written to the server that refused connections.
+    assert told["lb_backend_calls_total", None] == 2 and told["lb_inflight", None] == 0
+    assert told["lb_hosts_listed", None] == 1
+
+
+def test_names_of_any_kind_are_read_back_from_the_figures():
+    counters, odd = Counters(), 'a "quoted"\\\nname'
+    counters.open_listeners([odd])
+    counters.ended("accepted", odd)
+    assert read_figures(figures.render(counters.ends, []).decode())["lb_success_total", odd] == 1
+
+
+def test_a_server_that_failed_is_down_and_a_full_one_is_not(host, lost):
+    host.servers("a", "b", "c")
+    host.loads(a=0.9)
+    for _ in range(3):
+        host.balancer.blame(host.balancer.servers["b"], 1.0)
+    assert host.balancer.avoided() == (3, 1)
+
+
+def test_clients_are_sent_away_between_lines_and_what_still_comes_is_served(served, monkeypatch):
+    monkeypatch.setattr(proxies, "STILL_COMING", 0.1)
+    monkeypatch.setattr(proxies, "AWAY_SPAN", 0.8)
+    proxy = served()
+    front = proxy.client(b"PING\r\n")
+    proxy.until(lambda: front.read() == b"PONG\r\n")
+    standing = [proxy.standing() for _ in range(4)]
+    assert proxy.ask("out-of-service", "POST")[0] == proxy.ask("out-of-service", "POST")[0] == 200
+    front.say(b"PING\r\n")
+    proxy.until(lambda: front.read() == b"PONG\r\nBUSY\r\n")
+    assert proxy.ask("ready")[0] == 503
+    late, _ = proxy.standing()
+    dialling = proxy.open()
+    proxy.proxy.reload()  # does not bring it back
+    assert proxy.ask("ready")[0] == 503
+    for client, _ in [*standing, (late, None)]:
+        proxy.until(lambda client=client: client.read() == b"MOVE\r\n" and client.end == "closed", within=1.2)
+    proxy.until(lambda: dialling.read() == b"BUSY\r\n", within=1.2)
+    after = proxy.open()
+    proxy.until(lambda: after.read() == b"BUSY\r\n" and after.end)
+    assert not front.end and proxy.ask("in-service", "POST")[0] == proxy.ask("in-service", "POST")[0] == 200
+    front.say(b"PING\r\n")
+    proxy.until(lambda: front.read().endswith(b"PONG\r\n"))
+    assert proxy.ask("ready")[0] == 200
+    dials, again = proxy.counts["dials"], proxy.open()
+    proxy.until(lambda: proxy.counts["dials"] > dials and not again.end)
+
+
+def test_taken_back_half_way_those_not_moved_yet_stay(served, monkeypatch):
+    monkeypatch.setattr(proxies, "STILL_COMING", 0.05)
+    proxy = served()
+    clients = [proxy.standing()[0] for _ in range(12)]
+    proxy.ask("out-of-service", "POST")
+    proxy.until(lambda: any(client.read() for client in clients))
+    proxy.ask("in-service", "POST")
+    moved = sum(bool(client.read()) for client in clients)
+    proxy.idle(0.3)
+    assert 0 < moved == sum(bool(client.read()) for client in clients) < 12
+    proxy.ask("out-of-service", "POST")  # and again, from anew
+    proxy.until(lambda: sum(bool(client.read()) for client in clients) > moved)
+
+
+TOLD = {
+    "name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "management": "127.0.0.1:3",
+    "seed": "5",
+    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 500}, "known": {"seq": 0, "hosts": []},
+    "settings": {
+        "discovery": "on_request", "weightKind": "nominal", "peersTotal": 1,
+        "listeners": [{"name": name, "semantics": "read_like", "handshakeTargetNs": 3e8, "dialTimeoutNs": 2e9,
+                       "utility": 1.0} for name in ("calls", "chat")],
+        "ceilings": {"mostDials": 3, "connectTimeoutNs": 250000000},
+        "rules": {"coldNs": 5000000000, "coldShare": 0.3},
+    },
+}  # fmt: skip
+
+
+def objects(told, path=()):
+    """Each object of the file, by the way to it."""
+    yield path, told
+    for key, value in told.items() if isinstance(told, dict) else enumerate(told):
+        if isinstance(value, dict | list) and key != "known":
+            yield from objects(value, (*path, key))
+
+
+def changed(path, key, value=None):
+    told = json.loads(json.dumps(TOLD))
+    place = told
+    for step in path:
+        place = place[step]
+    if value is None:
+        del place[key]
+    else:
+        place[key] = value
+    return told
+
+
+def test_no_file_that_lacks_a_key_or_is_cut_off_is_taken(tmp_path):
+    old, path = decode(TOLD, {}, 0.0), tmp_path / "config.json"
+    whole = json.dumps(TOLD)
+    files = [whole[:place] for place in range(0, len(whole), 10)]
+    for place, found in objects(TOLD):
+        if isinstance(found, dict):
+            files += [json.dumps(changed(place, key)) for key in found]
+    for row in (0, 1):
+        for key in ("dialTimeoutNs", "handshakeTargetNs"):
+            files += [json.dumps(changed(("settings", "listeners", row), key, value))
+                      for value in (0, -5, True, "2e9", float("nan"), float("inf"), [], {})]  # fmt: skip
+    files += [json.dumps(changed(("settings", "ceilings"), "mostDials", value))
+              for value in (0, -1, True, "3", float("nan"), [])]  # fmt: skip
+    for text in files:
+        path.write_text(text)
+        with pytest.raises(ConfigError):
+            fresh = read_config(str(path), 0.0)
+            if why := needs_restart(old, fresh):
+                raise ConfigError(why)
+    assert len(files) > 80
+    added = changed(("settings", "listeners", 0), "name", "new")  # dropped, added, with another effect
+    added["settings"]["listeners"][0]["semantics"] = "non_idempotent"
+    assert needs_restart(old, decode(added, {}, 0.0)) == "" == needs_restart(decode(added, {}, 0.0), old)
+    one = changed(("settings", "listeners"), 0)
+    assert needs_restart(old, decode(one, {}, 0.0)) == "" and decode(one, {}, 0.0).settings.most_dials == 3
+
+
+def test_a_dropped_listeners_sessions_keep_their_terms_and_fewer_dials_are_for_new_ones(served, monkeypatch):
+    proxy = served("ab", listeners=BOTH, most_dials=2)
+    dialling = proxy.open("calls")
+    first, other = proxy.first_dial()
+    settings = replace(proxy.config.settings, listeners={"once": BOTH["once"]}, most_dials=1)
+    proxy.config = replace(proxy.config, settings=settings)
+    proxy.proxy.reload()
+    first.say(b"ERR\r\n")
+    proxy.until(lambda: other.asked()).say(b"UP r\r\n")  # its second dial, which new ones no longer have
+    proxy.until(lambda: dialling.read() == b"UP r\r\n")
+    on_its_way = proxy.open("calls")
+    proxy.until(lambda: proxy.proxy.sessions.taken == 2)
+    for live in proxy.proxy.sessions.table.live:
+        assert live.handle.sess.listener is CALLS
+    monkeypatch.setattr(sessions.Sessions, "listener", lambda self, name: self.listeners.get(name))
+    too_late = proxy.open("calls")
+    proxy.until(lambda: too_late.read() == b"ERR\r\n")
+    assert not on_its_way.read() and read_figures(proxy.ask("counters")[1])["lb_success_total", "calls"] == 1
+    proxy.proxy.read_again = lambda: read_config("/nowhere", 0.0)
+    proxy.proxy.reload()
+    told = read_figures(proxy.ask("counters")[1])
+    assert (told["lb_reconfig_ok_total", None], told["lb_reconfig_failed_total", None]) == (1, 1)
+
+
+def test_an_address_for_operators_that_cant_be_used_is_one_line_and_exit_2(tmp_path, capfd, monkeypatch):
+    taken = socket.create_server(("127.0.0.1", 0))
+    path = tmp_path / "config.json"
+    for address in (f"127.0.0.1:{taken.getsockname()[1]}", "nowhere", "127.0.0.1:99999"):
+        free = socket.create_server(("127.0.0.1", 0))
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+        free.close()
+        path.write_text(json.dumps(TOLD | {"listen": listen}))
+        monkeypatch.setenv("LB_MANAGEMENT", address)
+        assert main(["serve", "--config", str(path)]) == 2
+        said = capfd.readouterr().err
+        assert said.count("\n") == 1 and str(path) in said and "address" in said
