A second process takes over the clients' socket beside the running one

Cause: run's second start found its address in use and exited 2. Ruled out that the platform's socket needs more than its number: it is listening, non-blocking for both.

Change: $LB_LISTEN_FD; lifecycle/handover.py with two locked files in $TMPDIR; the successor takes clients once it has heard the list, the old one accepts nothing from then on, takes up again if the successor dies, and at SIGTERM moves its own and ends a front's connection after an answer.

--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -17,8 +17,9 @@
 from onyxhollow.facade import Facade
 from onyxhollow.interface import DialEnd, Entry, ListKind
 from onyxhollow.lifecycle.config import Config, ConfigError, needs_restart, read_config
+from onyxhollow.lifecycle.handover import TAKING, Handover, given_socket
 from onyxhollow.lifecycle.log import Log
-from onyxhollow.lifecycle.loop import READ, Loop
+from onyxhollow.lifecycle.loop import READ, Loop, Task
 from onyxhollow.memory.buffers import BufferPool
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Addresses
@@ -37,20 +38,23 @@
 STILL_COMING = 0.5  # seconds for which connections go on coming after SIGTERM
 STOP_STEP = 0.05  # seconds from one group of moved clients to the next
 STOP_MARGIN = 0.6  # seconds before SIGKILL by which all clients have been told to move
+LIST_HEARD = 2.0  # seconds for which a successor waits for the list before it takes clients without
+LOOK = 0.1  # seconds from look to look at what the other process of this proxy does
 AWAY_SPAN = 3.4  # seconds from an operator's word by which all clients have been told to move
 
 
 class Proxy:
-    def __init__(self, config: Config, clock_ahead: float, out: int,
-                 read_again: Callable[[], Config]) -> None:  # fmt: skip
+    def __init__(self, config: Config, clock_ahead: float, out: int, read_again: Callable[[], Config],
+                 given: socket.socket | None = None, handover: Handover | None = None) -> None:  # fmt: skip
         self.config, self.read_again = config, read_again
         self.counters, self.pool, self.addresses = Counters(), BufferPool(), Addresses()
         self.log = Log(out, config.name)
         self.loop = Loop(self.failed)
-        self.stopping = False
+        self.stopping = self.taking = False
         self.away = 0  # counts the times that clients were sent away; 0: they are taken
         self.drains = 0
-        self.listener = listen_socket(config.listen, "listen")
+        self.listener = given or listen_socket(config.listen, "listen")
+        self.handover, self.succeeded, self.list_heard = handover, False, False
         settings = config.settings
         for name, address in config.known.addresses.items():
             self.addresses.learn(name, address)
@@ -77,7 +81,11 @@
         self.management = self.open_management(config)
         self.take_limits(config)
         self.loop.spawn(self.ticks())
-        self.loop.watch(self.listener.fileno(), READ, self.accept)
+        self.follower: Task | None = None
+        if handover is None or not handover.follows:
+            self.take_clients()
+        if handover is not None:
+            self.follower = self.loop.spawn(self.follow(handover))
 
     def take_limits(self, config: Config) -> None:
         """Shares of what is told: fixed figures that suit a thousand descriptors leave nothing of few."""
@@ -106,8 +114,9 @@
         return Management(self.loop, config.management, self.counters, routes, self.log.event)
 
     def tell_ready(self) -> Answer:
-        if self.stopping or self.away:
-            return 503, b"stopping\n" if self.stopping else b"out of service\n", PLAIN
+        if self.stopping or self.away or not self.taking:
+            why = b"stopping" if self.stopping else b"out of service" if self.away else b"starting"
+            return 503, why + b"\n", PLAIN
         return 200, b"ready\n", PLAIN
 
     def tell_figures(self) -> Answer:
@@ -154,6 +163,10 @@
     # told by the wire
 
     def list_told(self, kind: ListKind, entries: list[Entry]) -> None:
+        if not self.list_heard and kind is not ListKind.FAILED:
+            self.list_heard = True
+            if self.follower:
+                self.follower.wake()
         try:
             self.facade.report_list(kind, entries)
         except Exception as error:  # the list must go on being followed
@@ -174,6 +187,10 @@
                 self.failed("tick", error)
                 self.facade.due = self.loop.now + 0.05
 
+    def take_clients(self) -> None:
+        self.taking = True
+        self.loop.watch(self.listener.fileno(), READ, self.accept)
+
     def accept(self, _: int) -> None:
         for _ in range(ACCEPTS):
             if self.pool.open >= self.accepts_to:
@@ -205,9 +222,40 @@
 
     def accept_again(self) -> Generator[float, None, None]:
         yield from self.loop.sleep(NO_DESCRIPTOR)
-        if self.listener.fileno() >= 0:
+        if self.listener.fileno() >= 0 and not self.succeeded:
             self.loop.watch(self.listener.fileno(), READ, self.accept)
 
+    # two processes of one proxy
+
+    def follow(self, handover: Handover) -> Generator[float, None, None]:
+        """A successor takes clients once it has heard the list, and serves alone when the one before it has
+        ended. One that serves looks out for a successor."""
+        if handover.alone:
+            self.log.event("nothing handed over", why="two other processes of this proxy are there")
+        if handover.follows:
+            began = self.loop.now
+            self.discovery.ask()
+            while not self.list_heard and self.loop.now < began + LIST_HEARD:
+                yield began + LIST_HEARD
+            self.take_clients()
+            handover.say(TAKING)
+            self.log.event("successor", list_heard=self.list_heard, took=round(self.loop.now - began, 3))
+            while not handover.move_up():
+                yield from self.loop.sleep(LOOK)
+            self.log.event("predecessor ended", after=round(self.loop.now - began, 2))
+        while not self.stopping:
+            self.look_at_successor(handover)
+            yield from self.loop.sleep(LOOK)
+
+    def look_at_successor(self, handover: Handover) -> None:
+        """While a successor takes clients this process accepts none: of two that place new sessions side by
+        side each would need its part of every budget. If it dies, all is as before."""
+        state = handover.heard().get("state", "")
+        if (state == TAKING) is not self.succeeded:
+            self.succeeded = state == TAKING
+            self.log.event("succeeded" if self.succeeded else "successor gone", live=self.sessions.taken)
+            self.loop.watch(self.listener.fileno(), 0 if self.succeeded else READ, self.accept)
+
     def failed(self, where: str, error: BaseException) -> None:
         self.counters.add("failures")
         trace = traceback.format_exception(error)
@@ -283,7 +331,12 @@
         reconnect for the others."""
         began, last = self.loop.now, self.loop.now + self.stop_span
         self.log.event("stop", live=len(self.sessions.table), within=round(self.stop_span, 2))
-        yield from self.loop.sleep(STILL_COMING)
+        if self.handover is not None:
+            self.look_at_successor(self.handover)
+        if self.succeeded:  # nothing new comes here, and what the front has kept goes on at its next word
+            self.sessions.leaving = True
+        else:
+            yield from self.loop.sleep(STILL_COMING)
         self.stop_listening()
         yield from self.send_away(last, lambda: bool(self.sessions.table.live))
         for sess in list(self.sessions.table.live):
@@ -305,7 +358,8 @@
 
     def stop_listening(self) -> None:
         if self.listener.fileno() >= 0:
-            self.accept(0)  # those the system has accepted already are taken
+            if not self.succeeded:
+                self.accept(0)  # those the system has accepted already are taken
             self.loop.watch(self.listener.fileno(), 0, None)
             self.listener.close()
 
@@ -320,9 +374,14 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before the loop runs must not end it
     raise_descriptor_limit()
     os.set_blocking(sys.stdout.fileno(), False)
+    given = handover = None
     try:
+        if told := os.environ.get("LB_LISTEN_FD"):
+            given = given_socket(told)
+            with contextlib.suppress(OSError):  # no such folder: nothing is handed over
+                handover = Handover(os.environ.get("TMPDIR", ""))
         proxy = Proxy(config, clock_ahead, sys.stdout.fileno(),
-                      lambda: read_config(path, clock_ahead, again=True))  # fmt: skip
+                      lambda: read_config(path, clock_ahead, again=True), given, handover)  # fmt: skip
     except ListenError as error:
         sys.stderr.write(f"onyxhollow: {path}: {error}\n")
         return 2
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -59,6 +59,7 @@
         self.servers = Servers(loop, pool, counters, addresses, load_field, connect_time, self.malformed)
         self.dropped: dict[str, tuple[Listener, float]] = {}  # by the last reloads; until when they are taken
         self.away = self.refusing = False  # the front is told to send nothing here; what comes is refused
+        self.leaving = False  # a successor takes clients: a front's connection ends after its next answer
         self.taken = 0  # sessions taken and not ended
         counters.open_listeners(listeners)
         self.descriptors = 1000  # connections past which room is made
@@ -215,6 +216,10 @@
                     raise MalformedError("too many PINGs")
                 client.write(AWAY if self.shared.away else b"PONG\r\n")
                 until = self.loop.now + FRONT_LINE
+                if self.shared.leaving and not len(client.inbox):
+                    table.asked(self)
+                    client.finish()
+                    return None
             elif client.ended or self.loop.now >= until or self.stopping:
                 table.asked(self)
                 if len(client.inbox):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -123,7 +123,8 @@
 class Loopback:
     """One proxy on loopback among toys, turned by hand."""
 
-    def __init__(self, servers="a", known=True, sockets=500, management=None, **changes):
+    def __init__(self, servers="a", known=True, sockets=500, management=None, given=None, handover=None,
+                 **changes):  # fmt: skip
         self.toys, self.opened = {name: Toy() for name in servers}, 0
         self.list = Toy()
         rows = [self.row(name) for name in servers] if known else []
@@ -136,7 +137,9 @@
         os.set_blocking(writer, False)
         os.set_blocking(reader, False)
         ahead = time.time() - time.monotonic()
-        self.log_reader, self.proxy = reader, Proxy(self.config, ahead, writer, lambda: self.config)
+        self.log_reader, self.proxy = reader, Proxy(
+            self.config, ahead, writer, lambda: self.config, given, handover
+        )
         self.counts = self.proxy.counters.counts
 
     def row(self, name, health="active", **more):
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -564,7 +564,7 @@
     standing = [accepted() for _ in range(4)]
     out = proxy.open(wait=5000), dialled()  # a dial that is out all the while
     source = max(balancer.servers.values(), key=lambda s: sum(x.standing for x in s.connections))
-    source.set_up.value = 9.0  # slower than any receiver: what a loopback takes would halve the pace by chance
+    source.set_up.value = 9.0  # slower than any receiver: the pace would be halved by chance on a loopback
     balancer.blame(source, 5.0)  # its hand-off is under way while the settings change
     pace = source.leaving
     live = replace(old, live_sizes=True, groups=True, watched=False, balancers=9,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -3,24 +3,29 @@
 import json
 import os
 import socket
+import time
 from dataclasses import replace
 
 import pytest
-from conftest import CALLS
+from conftest import CALLS, Peer
 from prometheus_client.parser import text_string_to_metric_families
 
 from onyxhollow.__main__ import main
 from onyxhollow.interface import Repeat
+from onyxhollow.lifecycle import handover as handovers
 from onyxhollow.lifecycle import loop as loops
 from onyxhollow.lifecycle import proxy as proxies
 from onyxhollow.lifecycle.config import ConfigError, decode, needs_restart, read_config
+from onyxhollow.lifecycle.handover import Handover, given_socket
 from onyxhollow.memory.counters import Counters
 from onyxhollow.wire import figures, sessions
+from onyxhollow.wire.channel import ListenError
 
 OPERATORS = ("127.0.0.1", 0)
 BOTH = {"calls": CALLS, "once": replace(CALLS, name="once", repeat=Repeat.ONCE_ONLY)}
 END = b" HTTP/1.1\r\nHost: x\r\n\r\n"
 READY = b"GET /control/ready"
+LIST = json.dumps({"seq": 8, "whole": False, "hosts": []}).encode()
 
 
 @pytest.fixture
@@ -297,3 +302,127 @@
         assert main(["serve", "--config", str(path)]) == 2
         said = capfd.readouterr().err
         assert said.count("\n") == 1 and str(path) in said and "address" in said
+
+
+class Overlap:
+    """Processes of one proxy, played as proxies that share the platform's listening socket and a folder."""
+
+    def __init__(self, served, folder):
+        self.served, self.folder = served, str(folder)
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.running = []
+
+    def start(self, **changes):
+        given = given_socket(str(os.dup(self.socket.fileno())))
+        proxy = self.served("a", given=given, handover=Handover(self.folder), **changes)
+        self.running.append(proxy)
+        return proxy
+
+    def until(self, seen, within=3.0):
+        end = time.monotonic() + within
+        while not (got := seen()):
+            assert time.monotonic() < end, [dict(proxy.counts) for proxy in self.running]
+            for proxy in self.running:
+                proxy.proxy.loop.turn(0.002)
+        return got
+
+    def die(self, proxy):
+        """As a process that is killed: all its descriptors go, and with them its locks."""
+        self.running.remove(proxy)
+        handover = proxy.proxy.handover
+        for fd in (handover.serving, handover.successor):
+            if fd is not None:
+                os.close(fd)
+        proxy.proxy.loop.watch(proxy.proxy.listener.fileno(), 0, None)
+        proxy.proxy.listener.close()
+
+    def taken_by(self, proxy):
+        """A new client is served there and nowhere else."""
+        before = [other.counts["connections accepted"] for other in self.running]
+        front = Peer(socket.create_connection(self.socket.getsockname()))
+        front.say(b"PING\r\n")
+        self.until(lambda: front.read() == b"PONG\r\n")
+        after = [other.counts["connections accepted"] for other in self.running]
+        assert [b - a for a, b in zip(before, after, strict=True)] == [p is proxy for p in self.running]
+        return front
+
+
+@pytest.fixture
+def overlap(served, tmp_path):
+    return Overlap(served, tmp_path)
+
+
+def test_a_successor_takes_clients_once_it_has_the_list_and_the_old_one_serves_its_own(overlap):
+    old = overlap.start()
+    front, (client, _) = overlap.taken_by(old), old.standing()
+    new = overlap.start()
+    overlap.until(lambda: new.list.asked())
+    assert new.ask("ready")[0] == 503 and old.ask("ready")[0] == 200
+    overlap.taken_by(old)
+    new.answer_list(LIST)
+    overlap.until(lambda: new.proxy.taking)
+    assert new.ask("ready")[0] == 200
+    overlap.until(lambda: old.proxy.succeeded)
+    overlap.taken_by(new)
+    accepted = overlap.taken_by(new)
+    front.say(b"PING\r\n")
+    overlap.until(lambda: front.read() == b"PONG\r\nPONG\r\n")  # never a no meanwhile
+    old.proxy.loop.spawn(old.proxy.stop())
+    front.say(b"PING\r\n")
+    overlap.until(lambda: front.read() == b"PONG\r\n" * 3 and front.end == "closed")  # after the answer
+    overlap.until(lambda: client.read() == b"MOVE\r\n" and client.end == "closed", within=3.5)
+    overlap.until(lambda: not old.proxy.loop.running)
+    accepted.say(b"PING\r\n")
+    overlap.until(lambda: accepted.read() == b"PONG\r\n" * 2)
+    overlap.die(old)
+    overlap.until(lambda: new.proxy.handover.serving is not None)
+    third = overlap.start()  # a successor's successor
+    overlap.until(lambda: third.list.asked())
+    third.answer_list(LIST)
+    overlap.until(lambda: new.proxy.succeeded)
+    overlap.taken_by(third)
+
+
+@pytest.mark.parametrize("after_its_yes", [False, True])
+def test_a_successor_that_dies_leaves_all_as_it_was(overlap, after_its_yes):
+    old = overlap.start()
+    client, server = old.standing()
+    new = overlap.start()
+    if after_its_yes:
+        overlap.until(lambda: new.list.asked())
+        new.answer_list(LIST)
+        overlap.until(lambda: old.proxy.succeeded)
+    waiting = Peer(socket.create_connection(overlap.socket.getsockname()))  # read by nobody yet
+    overlap.die(new)
+    waiting.say(b"PING\r\n")
+    overlap.until(lambda: waiting.read() == b"PONG\r\n" and not old.proxy.succeeded)
+    overlap.taken_by(old)
+    server.say(b"still here\r\n")
+    overlap.until(lambda: client.read() == b"still here\r\n" and not client.end)
+
+
+def test_a_successor_that_hears_no_list_takes_clients_all_the_same(overlap, monkeypatch):
+    monkeypatch.setattr(proxies, "LIST_HEARD", 0.2)
+    overlap.start()
+    new = overlap.start()
+    overlap.until(lambda: new.proxy.taking, within=1.0)
+
+
+def test_a_third_process_or_a_folder_that_cant_be_used_hands_nothing_over(overlap, tmp_path, monkeypatch):
+    monkeypatch.setattr(handovers, "BEGIN_WITHIN", 0.05)
+    old, new = overlap.start(), overlap.start()
+    third = Handover(str(tmp_path))
+    assert not old.proxy.handover.follows and new.proxy.handover.follows
+    assert third.alone and not third.follows and not third.heard() and not third.move_up()
+    with pytest.raises(OSError):
+        Handover(str(tmp_path / "nowhere"))
+    (tmp_path / "onyxhollow-successor").write_bytes(b'{"version": 1, "state"')
+    assert old.proxy.handover.heard() == {}
+
+
+def test_a_descriptor_that_is_no_listening_socket_is_refused(tmp_path):
+    plain, file = socket.socket(), open(tmp_path / "file", "w")  # noqa: SIM115
+    for told in (str(plain.fileno()), str(file.fileno()), "999", "-1", "x"):
+        with pytest.raises(ListenError, match=r"LB_LISTEN_FD: expected a listening socket"):
+            given_socket(told)
+    file.close()
