--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Generator, Hashable, Iterable
 from dataclasses import dataclass
 
-from onyxhollow.interface import Customer, DialEnd, Entry, Listener, ListKind, Settings
+from onyxhollow.interface import Customer, DialEnd, Entry, Listener, ListKind, Readiness, Settings
 from onyxhollow.memory.counters import Counters
 from onyxhollow.policy import Balancer, Session
 
@@ -123,13 +123,21 @@
         return handle
 
     def adopt(self, wake: Callable[[], None], listener: Listener, customer: Customer | None, group: Hashable,
-              load: float | None, server: str) -> Handle:  # fmt: skip
-        """A connection that was open before this proxy started."""
+              load: float | None, server: str, placed: bool = False) -> Handle:  # fmt: skip
+        """A connection that was open before this process started; placed: by the one before it."""
         handle = Handle(self, wake)
         handle.sess = self.balancer.adopt(handle, listener, customer, group, load, server)
+        if handle.sess and placed:
+            handle.sess.placed = True
         handle.dialling = handle.answered = True
         return handle
 
+    def all_adopted(self) -> None:
+        """Servers that drain were told of before their connections came."""
+        for server in self.balancer.servers.values():
+            if server.readiness is Readiness.DRAINING and not server.leaving:
+                self.balancer.hand_off(server, "drain", told=True)
+
     def report_list(self, kind: ListKind, entries: Iterable[Entry] = ()) -> None:
         self.balancer.server_list(kind, entries)
 
--- a/onyxhollow/lifecycle/handover.py
+++ b/onyxhollow/lifecycle/handover.py
@@ -60,8 +60,8 @@
         self.serving_path, self.successor_path = (
             os.path.join(folder, f"onyxhollow-{part}") for part in ("serving", "successor")
         )
-        self.state_path = os.path.join(folder, "onyxhollow-state")
         self.token = f"{os.getpid()}-{time.monotonic_ns()}"
+        self.passing_path = os.path.join(folder, f"onyxhollow-{self.token}")
         self.serving: int | None = None
         self.successor: int | None = None
         until = time.monotonic() + BEGIN_WITHIN
@@ -88,9 +88,10 @@
     def follows(self) -> bool:
         return self.successor is not None
 
-    def say(self, state: str) -> None:
+    def say(self, state: str, path: str = "") -> None:
+        """path: where open connections may be passed on to."""
         if self.successor is not None:
-            word = orjson.dumps({"version": VERSION, "token": self.token, "state": state})
+            word = orjson.dumps({"version": VERSION, "token": self.token, "state": state, "path": path})
             os.ftruncate(self.successor, 0)
             os.pwrite(self.successor, word, 0)
 
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -27,6 +27,7 @@
 from onyxhollow.wire.channel import OUR_OWN, ListenError, listen_socket
 from onyxhollow.wire.discovery import Discovery
 from onyxhollow.wire.management import PLAIN, Answer, Management
+from onyxhollow.wire.passing import Passing, Receiver
 from onyxhollow.wire.probes import Probes
 from onyxhollow.wire.sessions import Sessions
 
@@ -40,6 +41,7 @@
 STOP_MARGIN = 0.6  # seconds before SIGKILL by which all clients have been told to move
 LIST_HEARD = 2.0  # seconds for which a successor waits for the list before it takes clients without
 LOOK = 0.1  # seconds from look to look at what the other process of this proxy does
+PASS_STEP = 0.005  # seconds from one group of connections passed on to the next
 AWAY_SPAN = 3.4  # seconds from an operator's word by which all clients have been told to move
 
 
@@ -55,6 +57,7 @@
         self.drains = 0
         self.listener = given or listen_socket(config.listen, "listen")
         self.handover, self.succeeded, self.list_heard = handover, False, False
+        self.successor_path = ""
         settings = config.settings
         for name, address in config.known.addresses.items():
             self.addresses.learn(name, address)
@@ -237,20 +240,52 @@
             self.discovery.ask()
             while not self.list_heard and self.loop.now < began + LIST_HEARD:
                 yield began + LIST_HEARD
+            receiver = self.receive(handover)
             self.take_clients()
-            handover.say(TAKING)
+            handover.say(TAKING, receiver.path if receiver else "")
             self.log.event("successor", list_heard=self.list_heard, took=round(self.loop.now - began, 3))
             while not handover.move_up():
                 yield from self.loop.sleep(LOOK)
-            self.log.event("predecessor ended", after=round(self.loop.now - began, 2))
+            taken = self.counters.counts["connections taken over"]
+            self.log.event("predecessor ended", after=round(self.loop.now - began, 2), taken_over=taken)
+            if receiver:
+                receiver.close()
         while not self.stopping:
             self.look_at_successor(handover)
             yield from self.loop.sleep(LOOK)
 
+    def receive(self, handover: Handover) -> Receiver | None:
+        try:
+            return Receiver(self.loop, handover.passing_path, self.sessions.receive, self.facade.all_adopted)
+        except OSError as error:  # a path too long, perhaps: its clients are moved then
+            self.log.event("nothing passed on", why=str(error))
+            return None
+
+    def pass_on(self, path: str, last: float) -> Generator[float, None, None]:
+        """Open connections go to the successor, those that come up later as they do; for as long as it is
+        there. What it does not take is moved."""
+        try:
+            passing = Passing(self.loop, path)
+        except OSError as error:
+            self.log.event("nothing passed on", why=str(error))
+            return
+        while self.sessions.table.live and self.loop.now < last - STOP_MARGIN and not passing.broken:
+            room = passing.room
+            for sess in self.sessions.table.live:
+                if room <= 0:
+                    break
+                if sess.open and sess.passed is None and sess.passing is None:
+                    sess.passing, room = passing, room - 1
+                    sess.wake()
+            yield from self.loop.sleep(PASS_STEP)
+        passing.close()
+        self.log.event("passed on", connections=self.counters.counts["connections passed on"])
+
     def look_at_successor(self, handover: Handover) -> None:
         """While a successor takes clients this process accepts none: of two that place new sessions side by
         side each would need its part of every budget. If it dies, all is as before."""
-        state = handover.heard().get("state", "")
+        heard = handover.heard()
+        state, self.successor_path = heard.get("state", ""), str(heard.get("path", ""))
         if (state == TAKING) is not self.succeeded:
             self.succeeded = state == TAKING
             self.log.event("succeeded" if self.succeeded else "successor gone", live=self.sessions.taken)
@@ -335,6 +370,8 @@
             self.look_at_successor(self.handover)
         if self.succeeded:  # nothing new comes here, and what the front has kept goes on at its next word
             self.sessions.leaving = True
+            if self.successor_path:
+                yield from self.pass_on(self.successor_path, last)
         else:
             yield from self.loop.sleep(STILL_COMING)
         self.stop_listening()
--- a/onyxhollow/memory/buffers.py
+++ b/onyxhollow/memory/buffers.py
@@ -54,6 +54,15 @@
     def filled(self, count: int) -> None:
         self.end += count
 
+    def put(self, data: bytes) -> None:
+        """Bytes that were read elsewhere."""
+        if data:
+            self.space()[: len(data)] = data
+            self.filled(len(data))
+
+    def unused(self) -> bytes:
+        return bytes(memoryview(self.data)[self.start : self.end]) if self.data is not None else b""
+
     def __len__(self) -> int:
         return self.end - self.start
 
@@ -75,7 +84,7 @@
 
     def rest(self) -> bytes:
         """What is left at the end of a connection: a line without its end."""
-        left = bytes(memoryview(self.data)[self.start : self.end]) if self.data is not None else b""
+        left = self.unused()
         self.start = self.end
         return left
 
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -5,17 +5,18 @@
 import math
 from collections import deque
 from collections.abc import Callable, Generator
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any
 
 from onyxhollow.facade import Facade, Handle
-from onyxhollow.interface import Customer, DialEnd, Listener
+from onyxhollow.interface import Customer, DialEnd, Listener, Repeat, Scope
 from onyxhollow.lifecycle.loop import Loop, Task
-from onyxhollow.memory.buffers import BufferPool, LongLineError
+from onyxhollow.memory.buffers import SIZE, BufferPool, LongLineError
 from onyxhollow.memory.counters import ACCEPTED, REFUSED, TORN_DOWN, Counters
 from onyxhollow.memory.tables import Addresses, SessionTable
 from onyxhollow.wire.channel import Channel
 from onyxhollow.wire.messages import MalformedError, Opening, read_opening, rest, told_figure, word
+from onyxhollow.wire.passing import Passing
 from onyxhollow.wire.servers import Dialled, Servers
 
 Steps = Generator[float, None, None]
@@ -90,6 +91,16 @@
         self.make_room()
         ClientSession(self, sock)
 
+    def receive(self, record: dict[str, Any], client: Any, server: Any) -> bool:
+        """A connection that the process before this one held open; an error leaves it there."""
+        carried = read_carried(record)
+        if not self.table.take(carried.opening.name):
+            return False
+        for sock in (client, server):
+            sock.setblocking(False)
+        ClientSession(self, client, carried, server)
+        return True
+
     def echo_took(self, handle: Handle, server: str, sent: Moment, now: float) -> None:
         """Tells the module of a late echo, once a second for each server. Told of all, at each connection, a
         short pause would look like dozens of faults, and echoes of 0.2 ms would drown the set-up times that
@@ -129,10 +140,44 @@
         return self.pool.open >= self.descriptors
 
 
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """All that an open connection takes along to another process. Both read one monotonic clock."""
+
+    opening: Opening
+    listener: Listener  # with the terms that it was taken under
+    server: str
+    started: float
+    heard: float
+    out: list[float]  # when lines went to the server that it has not brought back
+    load: float | None
+    last: bytes  # the server's word before its end, if it has said one
+    read: tuple[bytes, bytes]  # from client and server, and not used yet
+    unsent: tuple[bytes, bytes]  # to client and server
+
+
+def read_carried(record: dict[str, Any]) -> Carried:
+    def pair(name: str) -> tuple[bytes, bytes]:
+        client, server = record[name]
+        if name == "read" and max(len(client), len(server)) > SIZE:
+            raise ValueError(f"read: over {SIZE} bytes")
+        return client.encode("latin-1"), server.encode("latin-1")
+
+    terms = record["listener"]
+    listener = Listener(**{**terms, "repeat": Repeat(terms["repeat"]), "scope": Scope(terms["scope"])})
+    load = record["load"]
+    return Carried(
+        read_opening(record["line"].encode("latin-1")), listener, str(record["server"]),
+        float(record["started"]), float(record["heard"]), [float(at) for at in record["out"]],
+        None if load is None else float(load), record["last"].encode("latin-1"), pair("read"), pair("unsent"),
+    )  # fmt: skip
+
+
 class ClientSession:
-    """One client's connection."""
+    """One client's connection. carried: it was open in the process before this one, to that server."""
 
-    def __init__(self, shared: Sessions, sock: Any) -> None:
+    def __init__(self, shared: Sessions, sock: Any, carried: Carried | None = None,
+                 server: Any = None) -> None:  # fmt: skip
         self.shared, self.loop, self.counters = shared, shared.loop, shared.counters
         self.client = Channel(self.loop, sock, shared.pool, self.wake)
         self.server: Channel | None = None
@@ -145,8 +190,15 @@
         self.heard = self.slowest = 0.0
         self.echoes, self.last = 0, b""
         self.came = self.loop.now
+        self.passing: Passing | None = None  # the connection is to be passed on there
+        self.passed: bool | None = None  # what the successor has said of it
         shared.table.add(self)
-        self.task: Task = self.loop.spawn(self.run())
+        if carried is not None:
+            self.server, self.open, self.told = Channel(self.loop, server, shared.pool, self.wake), True, True
+            for place, channel in enumerate((self.client, self.server)):
+                channel.inbox.put(carried.read[place])  # before anything newer is read
+                channel.write(carried.unsent[place])
+        self.task: Task = self.loop.spawn(self.run(carried))
 
     def wake(self) -> None:
         self.task.wake()
@@ -174,10 +226,14 @@
             self.told = True
             self.counters.ended(end, self.opening.listener)
 
-    def run(self) -> Steps:
+    def run(self, carried: Carried | None) -> Steps:
         raw = b""
         try:
-            line = yield from self.first_line()
+            line = None
+            if carried is not None:
+                yield from self.resume(carried)
+            else:
+                line = yield from self.first_line()
             if line is not None:
                 raw = bytes(line)
                 yield from self.serve(read_opening(raw))
@@ -374,11 +430,11 @@
 
     # from UP on
 
-    def relay(self, handle: Handle) -> Steps:
-        """Passes lines both ways until one side ends, or the client is to be moved."""
-        client, server, started = self.client, self.server, self.loop.now
+    def relay(self, handle: Handle, carried: Carried | None = None) -> Steps:
+        """Passes lines both ways until one side ends, or the client is to be moved or passed on."""
+        client, server, started = self.client, self.server, carried.started if carried else self.loop.now
         assert server is not None
-        self.heard = started
+        self.heard = carried.heard if carried else started
         while True:
             if not self.pass_to_client(handle, server):
                 self.move(handle, "of a malformed server", DialEnd.ERROR, started)
@@ -388,6 +444,8 @@
                 self.finish_with(handle, AFTER_ANSWER.get(self.last, DialEnd.RESET), started)
             elif client.ended and not server.full:
                 self.client_left(handle, started)
+            elif self.passing is not None and (yield from self.pass_on(handle, self.passing, started)):
+                pass
             elif handle.move or self.stopping:
                 self.move(handle, "moved" if handle.move else "moved at stop", DialEnd.CANCELLED, started)
             elif (look_at := self.look_at_echoes(handle)) <= self.loop.now:
@@ -400,6 +458,59 @@
                 continue
             return
 
+    # to another process of this proxy
+
+    def resume(self, carried: Carried) -> Steps:
+        """Goes on with a connection where the process before this one has left it."""
+        opening = self.opening = carried.opening
+        self.shared.taken += 1
+        self.name, self.last = carried.server, carried.last
+        self.out.extend(Moment(at, self.loop.stalled) for at in carried.out)
+        self.counters.add("connections taken over")
+        handle = self.handle = self.shared.facade.adopt(
+            self.wake, carried.listener, self.shared.customers.get(opening.customer), opening.group,
+            carried.load, carried.server, placed=True,
+        )  # fmt: skip
+        yield from self.relay(handle, carried)
+
+    def pass_on(self, handle: Handle, passing: Passing, started: float) -> Generator[float, None, bool]:
+        """Whether the successor has it now. While it may have, nothing is read here; the copies of this
+        process are only closed: shut down, the connections would end for the successor too."""
+        client, server, sess, opening = self.client, self.server, handle.sess, self.opening
+        assert server is not None and opening is not None
+        if self.stopping or client.broken or server.broken or sess is None:
+            self.passing, self.passed = None, False
+            return False
+        for channel in (client, server):
+            self.loop.watch(channel.fd, 0, None)
+        record = {
+            "line": opening.line.decode("latin-1"), "listener": asdict(sess.listener), "server": self.name,
+            "started": started, "heard": self.heard, "out": [sent.at for sent in self.out],
+            "load": sess.load, "last": self.last.decode("latin-1"),
+            "read": [channel.inbox.unused().decode("latin-1") for channel in (client, server)],
+            "unsent": [channel.out.decode("latin-1") for channel in (client, server)],
+        }  # fmt: skip
+
+        def told(taken: bool) -> None:
+            self.passed = taken
+            self.wake()
+
+        if passing.send(record, [client.fd, server.fd], told):
+            while self.passed is None:
+                yield math.inf
+        if not self.passed:
+            self.passing, self.passed = None, False
+            for channel in (client, server):
+                channel.listen()
+            return False
+        self.counters.add("connections passed on")
+        self.end = "passed on"
+        client.close()
+        server.close()
+        handle.report_gone()
+        handle.report(DialEnd.CANCELLED, self.loop.now - started, True)
+        return True
+
     def pass_to_client(self, handle: Handle, server: Channel) -> bool:
         """False if the server has sent what is no line."""
         try:
