A successor begins with what the old process knows; one state of service

Clients that read nothing are closed when the time for sending them away is over.

Failed try: the end of a stop waited only for channels that leave, and missed sessions told in that very turn; a test of once-only sessions caught it.

--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -9,10 +9,12 @@
 import math
 from collections.abc import Callable, Generator, Hashable, Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from onyxhollow.interface import Customer, DialEnd, Entry, Listener, ListKind, Readiness, Settings
 from onyxhollow.memory.counters import Counters
 from onyxhollow.policy import Balancer, Session
+from onyxhollow.recall import describe, take_back
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +131,8 @@
         handle.sess = self.balancer.adopt(handle, listener, customer, group, load, server)
         if handle.sess and placed:
             handle.sess.placed = True
+            if handle.sess.server:  # the load that its server has told of holds this one already
+                handle.sess.server.load_count += 1
         handle.dialling = handle.answered = True
         return handle
 
@@ -138,6 +142,13 @@
             if server.readiness is Readiness.DRAINING and not server.leaving:
                 self.balancer.hand_off(server, "drain", told=True)
 
+    def describe(self) -> tuple[dict[str, Any], list[dict[str, Any]]]:
+        """What the module knows, as plain values for a successor."""
+        return describe(self.balancer)
+
+    def take_back(self, common: dict[str, Any], records: list[dict[str, Any]]) -> int:
+        return take_back(self.balancer, common, records)
+
     def report_list(self, kind: ListKind, entries: Iterable[Entry] = ()) -> None:
         self.balancer.server_list(kind, entries)
 
--- a/onyxhollow/lifecycle/handover.py
+++ b/onyxhollow/lifecycle/handover.py
@@ -1,5 +1,7 @@
 """Two processes of one proxy: who serves, who follows, and what the one tells the other, by files in $TMPDIR.
 
+The old process writes down what it knows when a successor says that it starts: JSON lines under a header.
+
 `serving` and `successor` are locked by the process that plays that part; the system lets go of a lock when
 its holder dies, however it does. What a process says stands in the file that it holds the lock of.
 """
@@ -53,6 +55,35 @@
     return fd
 
 
+class StateError(Exception):
+    """What was handed over can't be used; the text says why."""
+
+
+def encode_state(token: str, at: float, common: dict[str, Any], records: list[dict[str, Any]]) -> bytes:
+    """at: Unix time, which both processes read off one clock."""
+    header = {"version": VERSION, "token": token, "at": at, "records": len(records), "common": common}
+    return b"".join(orjson.dumps(row, option=orjson.OPT_APPEND_NEWLINE) for row in (header, *records))
+
+
+def decode_state(text: bytes, token: str, now: float) -> tuple[dict[str, Any], list[dict[str, Any]]]:
+    if len(text) > LARGEST:
+        raise StateError(f"over {LARGEST} bytes")
+    *lines, rest = text.split(b"\n")
+    try:
+        header, *records = [orjson.loads(line) for line in lines]
+        if header["version"] != VERSION:
+            raise StateError(f"version {header['version']!r:.20}, expected {VERSION}")
+        if header["token"] != token:
+            raise StateError("written for another process")
+        if not -1.0 <= now - header["at"] <= STALE:
+            raise StateError(f"{now - header['at']:.0f} s old")
+        if rest or header["records"] != len(records):
+            raise StateError(f"{len(records)} records, expected {header['records']!r:.20}")
+        return header["common"], records
+    except (ValueError, KeyError, TypeError) as error:
+        raise StateError(f"cut off or not ours: {error!r:.80}") from None
+
+
 class Handover:
     """One process's part. OSError from __init__: the files can't be used, and there is no hand-over."""
 
@@ -62,6 +93,7 @@
         )
         self.token = f"{os.getpid()}-{time.monotonic_ns()}"
         self.passing_path = os.path.join(folder, f"onyxhollow-{self.token}")
+        self.state_path, self.written_for = os.path.join(folder, "onyxhollow-state"), ""
         self.serving: int | None = None
         self.successor: int | None = None
         until = time.monotonic() + BEGIN_WITHIN
@@ -95,6 +127,27 @@
             os.ftruncate(self.successor, 0)
             os.pwrite(self.successor, word, 0)
 
+    def write_state(self, token: str, common: dict[str, Any], records: list[dict[str, Any]]) -> None:
+        """Once for each successor; OSError if it can't be written."""
+        self.written_for = token
+        beside = f"{self.state_path}-{os.getpid()}"
+        try:
+            with open(beside, "wb") as file:
+                file.write(encode_state(token, time.time(), common, records))
+            os.replace(beside, self.state_path)
+        except OSError:
+            with contextlib.suppress(OSError):
+                os.unlink(beside)
+            raise
+
+    def read_state(self) -> tuple[dict[str, Any], list[dict[str, Any]]]:
+        try:
+            with open(self.state_path, "rb") as file:
+                text = file.read(LARGEST + 1)
+        except OSError as error:
+            raise StateError(str(error.strerror)) from None
+        return decode_state(text, self.token, time.time())
+
     def heard(self) -> dict[str, Any]:
         """What a living successor says; nothing if there is none."""
         if self.serving is None:
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -17,16 +17,17 @@
 from onyxhollow.facade import Facade
 from onyxhollow.interface import DialEnd, Entry, ListKind
 from onyxhollow.lifecycle.config import Config, ConfigError, needs_restart, read_config
-from onyxhollow.lifecycle.handover import TAKING, Handover, given_socket
+from onyxhollow.lifecycle.handover import STARTING, TAKING, Handover, StateError, given_socket
 from onyxhollow.lifecycle.log import Log
 from onyxhollow.lifecycle.loop import READ, Loop, Task
+from onyxhollow.lifecycle.service import Service, ServiceState
 from onyxhollow.memory.buffers import BufferPool
-from onyxhollow.memory.counters import Counters
+from onyxhollow.memory.counters import ACCEPTED, REFUSED, TORN_DOWN, Counters
 from onyxhollow.memory.tables import Addresses
-from onyxhollow.wire import figures
+from onyxhollow.operations import figures
+from onyxhollow.operations.management import PLAIN, Answer, Management
 from onyxhollow.wire.channel import OUR_OWN, ListenError, listen_socket
-from onyxhollow.wire.discovery import Discovery
-from onyxhollow.wire.management import PLAIN, Answer, Management
+from onyxhollow.wire.discovery import Discovery, ServerList, read_list
 from onyxhollow.wire.passing import Passing, Receiver
 from onyxhollow.wire.probes import Probes
 from onyxhollow.wire.sessions import Sessions
@@ -40,7 +41,10 @@
 STOP_STEP = 0.05  # seconds from one group of moved clients to the next
 STOP_MARGIN = 0.6  # seconds before SIGKILL by which all clients have been told to move
 LIST_HEARD = 2.0  # seconds for which a successor waits for the list before it takes clients without
+STATE_WAIT = 0.5  # seconds for which it waits for what the one before it knows
+STATE_LOOK = 0.02  # seconds from look to look whether that is there
 LOOK = 0.1  # seconds from look to look at what the other process of this proxy does
+LAST_LINES = 0.4  # seconds for last lines on their way out
 PASS_STEP = 0.005  # seconds from one group of connections passed on to the next
 AWAY_SPAN = 3.4  # seconds from an operator's word by which all clients have been told to move
 
@@ -52,11 +56,11 @@
         self.counters, self.pool, self.addresses = Counters(), BufferPool(), Addresses()
         self.log = Log(out, config.name)
         self.loop = Loop(self.failed)
-        self.stopping = self.taking = False
-        self.away = 0  # counts the times that clients were sent away; 0: they are taken
-        self.drains = 0
+        follows = handover is not None and handover.follows
+        self.service = ServiceState(Service.STARTING if follows else Service.IN_SERVICE)
+        self.drains = 0  # times that clients were sent away
         self.listener = given or listen_socket(config.listen, "listen")
-        self.handover, self.succeeded, self.list_heard = handover, False, False
+        self.handover, self.list_heard = handover, False
         self.successor_path = ""
         settings = config.settings
         for name, address in config.known.addresses.items():
@@ -79,14 +83,14 @@
         self.facade.report_list(ListKind.CACHED, config.known.entries)
         self.sessions = Sessions(
             self.loop, self.pool, self.counters, self.addresses, self.facade, settings.listeners,
-            settings.customers, settings.load_field, config.connect_time, self.log.event,
+            settings.customers, settings.load_field, config.connect_time, self.service,
+            self.log.event,
         )  # fmt: skip
         self.management = self.open_management(config)
         self.take_limits(config)
         self.loop.spawn(self.ticks())
         self.follower: Task | None = None
-        if handover is None or not handover.follows:
-            self.take_clients()
+        self.take_clients()
         if handover is not None:
             self.follower = self.loop.spawn(self.follow(handover))
 
@@ -117,9 +121,8 @@
         return Management(self.loop, config.management, self.counters, routes, self.log.event)
 
     def tell_ready(self) -> Answer:
-        if self.stopping or self.away or not self.taking:
-            why = b"stopping" if self.stopping else b"out of service" if self.away else b"starting"
-            return 503, why + b"\n", PLAIN
+        if not self.service.ready:
+            return 503, f"{self.service.state.value}\n".encode(), PLAIN
         return 200, b"ready\n", PLAIN
 
     def tell_figures(self) -> Answer:
@@ -130,21 +133,24 @@
                   ("hosts_listed", listed), ("hosts_down", down),
                   ("reconfig_ok_total", counts["reloads"] - refused),
                   ("reconfig_failed_total", refused))  # fmt: skip
-        return 200, figures.render(self.counters.ends, values), figures.TEXT
+        ends = self.counters.ends
+        by_tier = (("success_total", ends[ACCEPTED]), ("busy_total", ends[REFUSED]),
+                   ("failure_total", ends[TORN_DOWN]))  # fmt: skip
+        return 200, figures.render(by_tier, values), figures.TEXT
 
     def out_of_service(self) -> Answer:
-        if not self.away and not self.stopping:
+        if self.service.ready:
             self.drains += 1
-            self.away, self.sessions.away = self.drains, True
+            self.service.state = Service.LEAVING
             self.log.event("out of service", live=self.sessions.taken, within=AWAY_SPAN)
-            self.loop.spawn(self.drain(self.away))
+            self.loop.spawn(self.drain(self.drains))
         return 200, b"out of service\n", PLAIN
 
     def in_service(self) -> Answer:
-        if self.stopping:
+        if self.service.stopping:
             return 503, b"stopping\n", PLAIN
-        if self.away:
-            self.away, self.sessions.away, self.sessions.refusing = 0, False, False
+        if self.service.is_any(Service.LEAVING, Service.AWAY):
+            self.service.state = Service.IN_SERVICE
             self.log.event("in service", live=self.sessions.taken)
         return 200, b"in service\n", PLAIN
 
@@ -153,15 +159,23 @@
         and moved in their turn; what comes after the time there is for it is refused."""
         began = self.loop.now
         last = began + AWAY_SPAN
+
+        def wanted() -> bool:
+            return self.service.is_any(Service.LEAVING) and self.drains == this
+
         yield from self.loop.sleep(STILL_COMING)
-        yield from self.send_away(last, lambda: self.away == this)
+        yield from self.send_away(last, wanted)
         yield from self.loop.sleep(last - self.loop.now)
-        if self.away == this and not self.stopping:
-            self.sessions.refusing = True
+        if wanted():
+            self.service.state = Service.AWAY
             left = [sess for sess in self.sessions.table.live if sess.opening is not None]
             for sess in left:
                 sess.stop()
             self.log.event("sent away", left=len(left), took=round(self.loop.now - began, 2))
+            yield from self.loop.sleep(LAST_LINES)
+            for close, since in list(self.pool.leaving.items()):
+                if since <= last:  # told to move, and reads nothing: it must not be held beyond the time
+                    close()
 
     # told by the wire
 
@@ -191,8 +205,9 @@
                 self.facade.due = self.loop.now + 0.05
 
     def take_clients(self) -> None:
-        self.taking = True
-        self.loop.watch(self.listener.fileno(), READ, self.accept)
+        """Begins to accept, or ceases to, as the state says."""
+        if self.listener.fileno() >= 0:
+            self.loop.watch(self.listener.fileno(), READ if self.service.accepts else 0, self.accept)
 
     def accept(self, _: int) -> None:
         for _ in range(ACCEPTS):
@@ -225,8 +240,7 @@
 
     def accept_again(self) -> Generator[float, None, None]:
         yield from self.loop.sleep(NO_DESCRIPTOR)
-        if self.listener.fileno() >= 0 and not self.succeeded:
-            self.loop.watch(self.listener.fileno(), READ, self.accept)
+        self.take_clients()
 
     # two processes of one proxy
 
@@ -238,9 +252,12 @@
         if handover.follows:
             began = self.loop.now
             self.discovery.ask()
+            yield from self.take_back(handover, began + STATE_WAIT)
             while not self.list_heard and self.loop.now < began + LIST_HEARD:
                 yield began + LIST_HEARD
             receiver = self.receive(handover)
+            if self.service.is_any(Service.STARTING):
+                self.service.state = Service.IN_SERVICE
             self.take_clients()
             handover.say(TAKING, receiver.path if receiver else "")
             self.log.event("successor", list_heard=self.list_heard, took=round(self.loop.now - began, 3))
@@ -250,10 +267,47 @@
             self.log.event("predecessor ended", after=round(self.loop.now - began, 2), taken_over=taken)
             if receiver:
                 receiver.close()
-        while not self.stopping:
+        while not self.service.stopping:
             self.look_at_successor(handover)
             yield from self.loop.sleep(LOOK)
 
+    def take_back(self, handover: Handover, until: float) -> Generator[float, None, None]:
+        """Begins with what the process before this one knows, or without it."""
+        why = "nothing written"
+        while self.loop.now < until:
+            yield from self.loop.sleep(STATE_LOOK)
+            try:
+                common, records = handover.read_state()
+                if not self.list_heard and common["discovery"] == list(self.config.discovery):
+                    self.take_list(read_list(common["list"], self.discovery.clock_ahead))
+                servers = self.facade.take_back(common, records)
+                self.log.event("taken over", servers=servers, version=common["list"]["seq"])
+                return
+            except StateError as error:
+                why = str(error)
+            except Exception as error:  # written by a build that goes wrong, perhaps: it starts without
+                why = repr(error)
+                break
+        self.log.event("started without", why=why[:200])
+
+    def take_list(self, told: ServerList) -> None:
+        """The list as the process before this one had it; the next call goes on from there."""
+        if not told.entries:
+            return
+        for name, address in told.addresses.items():
+            self.addresses.learn(name, address)
+        self.discovery.version = told.version
+        self.facade.report_list(ListKind.CACHED, told.entries)
+
+    def hand_over(self, handover: Handover, token: str) -> None:
+        try:
+            common, records = self.facade.describe()
+            common |= {"discovery": self.discovery.address, "list": self.discovery.known()}
+            handover.write_state(token, common, records)
+            self.log.event("handed over", servers=len(records))
+        except Exception as error:  # a successor without it is better than no successor
+            self.failed("hand-over", error)
+
     def receive(self, handover: Handover) -> Receiver | None:
         try:
             return Receiver(self.loop, handover.passing_path, self.sessions.receive, self.facade.all_adopted)
@@ -285,11 +339,15 @@
         """While a successor takes clients this process accepts none: of two that place new sessions side by
         side each would need its part of every budget. If it dies, all is as before."""
         heard = handover.heard()
+        if heard.get("state") == STARTING and (token := str(heard.get("token", ""))) != handover.written_for:
+            self.hand_over(handover, token)
         state, self.successor_path = heard.get("state", ""), str(heard.get("path", ""))
-        if (state == TAKING) is not self.succeeded:
-            self.succeeded = state == TAKING
-            self.log.event("succeeded" if self.succeeded else "successor gone", live=self.sessions.taken)
-            self.loop.watch(self.listener.fileno(), 0 if self.succeeded else READ, self.accept)
+        before, after = self.service.state, Service.REPLACED if state == TAKING else Service.IN_SERVICE
+        if self.service.ready and before is not after:
+            self.service.state = after
+            self.log.event("replaced" if after is Service.REPLACED else "successor gone",
+                           live=self.sessions.taken)  # fmt: skip
+            self.take_clients()
 
     def failed(self, where: str, error: BaseException) -> None:
         self.counters.add("failures")
@@ -312,8 +370,7 @@
                     self.print_counters()
                 elif number == signal.SIGHUP:
                     self.reload()
-                elif not self.stopping:
-                    self.stopping = True
+                elif not self.service.stopping:
                     self.loop.spawn(self.stop())
 
         self.loop.watch(reader.fileno(), READ, told)
@@ -368,19 +425,20 @@
         self.log.event("stop", live=len(self.sessions.table), within=round(self.stop_span, 2))
         if self.handover is not None:
             self.look_at_successor(self.handover)
-        if self.succeeded:  # nothing new comes here, and what the front has kept goes on at its next word
-            self.sessions.leaving = True
+        if self.service.is_any(Service.REPLACED):  # nothing new comes here
+            self.service.state = Service.MAKING_WAY
             if self.successor_path:
                 yield from self.pass_on(self.successor_path, last)
         else:
+            self.service.state = Service.STOPPING
             yield from self.loop.sleep(STILL_COMING)
         self.stop_listening()
         yield from self.send_away(last, lambda: bool(self.sessions.table.live))
         for sess in list(self.sessions.table.live):
             sess.stop()
-        until = self.loop.now + 0.4  # last lines on their way out
-        while self.loop.now < until and len(self.loop.watched) > 1:
-            yield until
+        until = self.loop.now + LAST_LINES
+        while self.loop.now < until and (self.sessions.table.live or self.pool.leaving):
+            yield from self.loop.sleep(STOP_STEP)
         self.log.event("stopped", live=len(self.sessions.table), took=round(self.loop.now - began, 2))
         self.loop.running = False
 
@@ -395,7 +453,7 @@
 
     def stop_listening(self) -> None:
         if self.listener.fileno() >= 0:
-            if not self.succeeded:
+            if self.service.accepts:
                 self.accept(0)  # those the system has accepted already are taken
             self.loop.watch(self.listener.fileno(), 0, None)
             self.listener.close()
--- /dev/null
+++ b/onyxhollow/lifecycle/service.py
@@ -0,0 +1,41 @@
+"""Whether this process wants clients: one state that PING, readiness, accepting and the mover go by."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Service(Enum):
+    STARTING = "starting"  # a successor that has not heard the list yet
+    IN_SERVICE = "in service"
+    LEAVING = "leaving"  # sent out of service: what still comes is served, open connections are moved
+    AWAY = "out of service"  # that is done: what comes is refused
+    REPLACED = "replaced"  # a successor takes the clients; if it dies, this process does again
+    MAKING_WAY = "making way"  # and this process has been told to stop
+    STOPPING = "stopping"  # told to stop, with no successor
+
+
+class ServiceState:
+    def __init__(self, state: Service) -> None:
+        self.state = state
+
+    def is_any(self, *states: Service) -> bool:
+        return self.state in states
+
+    @property
+    def ready(self) -> bool:
+        """A replaced process says yes until it is told to stop: it is still one that can take clients."""
+        return self.is_any(Service.IN_SERVICE, Service.REPLACED)
+
+    @property
+    def answers_pings(self) -> bool:
+        """At a stop too: the front's connections that still come are served."""
+        return not self.is_any(Service.LEAVING, Service.AWAY)
+
+    @property
+    def stopping(self) -> bool:
+        return self.is_any(Service.STOPPING, Service.MAKING_WAY)
+
+    @property
+    def accepts(self) -> bool:
+        return not self.is_any(Service.STARTING, Service.REPLACED, Service.MAKING_WAY)
--- a/onyxhollow/wire/figures.py
+++ b/onyxhollow/operations/figures.py
@@ -4,11 +4,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from onyxhollow.memory.counters import ACCEPTED, REFUSED, TORN_DOWN
-
 PREFIX = "lb_"
 TEXT = "text/plain; version=0.0.4; charset=utf-8"
-BY_LISTENER = {"success_total": ACCEPTED, "busy_total": REFUSED, "failure_total": TORN_DOWN}
 GAUGES = ("inflight", "hosts_listed", "hosts_down")
 
 
@@ -16,12 +13,12 @@
     return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
 
 
-def render(ends: Mapping[str, Mapping[str, int]], values: Iterable[tuple[str, int]]) -> bytes:
-    """ends: sessions by what was said to their clients and listener; values: all else, by its name."""
+def render(by_tier: Iterable[tuple[str, Mapping[str, int]]], values: Iterable[tuple[str, int]]) -> bytes:
+    """by_tier: counts by their name and tier; values: all else, by its name."""
     lines: list[str] = []
-    for name, end in BY_LISTENER.items():
+    for name, counts in by_tier:
         lines.append(f"# TYPE {PREFIX}{name} counter")
-        lines += (f'{PREFIX}{name}{{tier="{escaped(key)}"}} {count}' for key, count in ends[end].items())
+        lines += (f'{PREFIX}{name}{{tier="{escaped(tier)}"}} {count}' for tier, count in counts.items())
     for name, value in values:
         lines.append(f"# TYPE {PREFIX}{name} {'gauge' if name in GAUGES else 'counter'}")
         lines.append(f"{PREFIX}{name} {value}")
--- /dev/null
+++ b/onyxhollow/recall.py
@@ -0,0 +1,103 @@
+"""What the decision module knows, as plain values for a successor of this process, and taken back from them.
+
+Times go as ages. All is checked before any of it is used; servers not in the successor's list are left out.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import Any
+
+from onyxhollow.interface import Readiness
+from onyxhollow.policy import Balancer, Figure, Pace, Server
+
+
+def age(at: float, now: float) -> float | None:
+    return now - at if math.isfinite(at) else None
+
+
+def figure(told: Figure, now: float) -> list[float] | None:
+    return [told.value, now - told.at] if told.fresh(now) is not None else None
+
+
+def describe(balancer: Balancer) -> tuple[dict[str, Any], list[dict[str, Any]]]:
+    """What holds for all servers, and a record for each."""
+    now, budget = balancer.host.now, balancer.budget
+    common = {
+        "setting_up": figure(balancer.setting_up, now),
+        "taken": [budget.rate(now), now - budget.since],  # sessions a second, and over how long
+    }
+    records = [
+        {
+            "name": server.name, "heard": server.heard,
+            "load": balancer.load_of(server), "load_age": age(server.load_at, now),
+            "distrust": server.score(now), "strained_age": age(server.strained_at, now),
+            "set_up": figure(server.set_up, now), "delay": figure(server.delay, now),
+            "arrival": [server.arrival.count, server.arrival.moved] if server.arrival else None,
+            "tokens": budget.grow(server, balancer.fill, now) if budget.cold(server, now) else None,
+        }
+        for server in balancer.servers.values() if server.readiness is not Readiness.GONE
+    ]  # fmt: skip
+    return common, records
+
+
+def checked(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
+        raise ValueError(f"impossible figure {value!r:.40}")
+    return float(value)
+
+
+def pair(value: Any) -> tuple[float, float] | None:
+    if value is None:
+        return None
+    first, second = value
+    return checked(first), checked(second)
+
+
+def take_back(balancer: Balancer, common: dict[str, Any], records: Iterable[dict[str, Any]]) -> int:
+    """How many servers something is known of now."""
+    now = balancer.host.now
+    setting_up, taken = pair(common["setting_up"]), pair(common["taken"])
+    plans = []
+    for row in records:
+        if (server := balancer.servers.get(row["name"])) is None:
+            continue
+        ages = [None if row[name] is None else checked(row[name]) for name in ("load_age", "strained_age")]
+        plans.append((server, row["heard"] is True, ages, checked(row["load"]), checked(row["distrust"]),
+                      pair(row["set_up"]), pair(row["delay"]), pair(row["arrival"]),
+                      None if row["tokens"] is None else checked(row["tokens"])))  # fmt: skip
+    if taken:
+        span = min(taken[1], balancer.budget.MEMORY)
+        balancer.budget.since, balancer.budget.at = now - taken[1], now
+        balancer.budget.seen += taken[0] * max(1.0, span)
+    recall_figure(balancer.setting_up, setting_up, now)
+    for server, heard, ages, load, distrust, set_up, delay, arrival, tokens in plans:
+        server.heard = server.heard or heard
+        server.distrust, server.distrust_at = distrust, now
+        if ages[0] is not None and now - ages[0] > server.load_at:
+            server.load, server.load_at, server.load_held = load, now - ages[0], server.held
+            server.load_count = len(server.connections)
+        if ages[1] is not None:
+            server.strained_at = max(server.strained_at, now - ages[1])
+        recall_figure(server.set_up, set_up, now)
+        recall_figure(server.delay, delay, now)
+        recall_arrival(balancer, server, arrival, tokens, now)
+    balancer.draw_working()
+    return len(plans)
+
+
+def recall_figure(known: Figure, told: tuple[float, float] | None, now: float) -> None:
+    if told and now - told[1] > known.at:
+        known.value, known.at = told[0], now - told[1]
+
+
+def recall_arrival(balancer: Balancer, server: Server, arrival: tuple[float, float] | None,
+                   tokens: float | None, now: float) -> None:  # fmt: skip
+    """Both processes together keep the cold budget: what the one before has spent is spent."""
+    server.arrival = None
+    if arrival:
+        server.arrival = Pace(int(arrival[0]))
+        server.arrival.moved = int(arrival[1])
+    if tokens is not None:
+        balancer.budget.tokens[server] = (min(1.0, tokens), now)
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -132,6 +132,7 @@
         self.wait, self.clock_ahead, self.version = wait, clock_ahead, version
         self.addresses, self.told, self.log = addresses, told, log
         self.pushed = self.asked = pushed  # pushed: the module expects to be told without having asked
+        self.rows: dict[str, Any] = {}  # the list as it was told, for a successor
         self.call: Call | None = None
         self.next: Address | None = None  # to be followed from now on
         self.task = loop.spawn(self.follow())
@@ -141,6 +142,10 @@
         self.asked = True
         self.task.wake()
 
+    def known(self) -> dict[str, Any]:
+        """The list as last told, in discovery's form."""
+        return {"seq": self.version, "whole": True, "hosts": list(self.rows.values())}
+
     def settle(self, wait: float, pushed: bool) -> None:
         self.wait, self.pushed = wait, pushed
 
@@ -184,7 +189,8 @@
                 self.call = Call(self.loop, self.address, self.pool, lambda: self.task.wake())
             until = self.loop.now + wait + ANSWER
             body = yield from self.call.get(target, until, lambda: self.next is not None)
-            news = read_list(orjson.loads(body), self.clock_ahead)
+            told = orjson.loads(body)
+            news = read_list(told, self.clock_ahead)
         except (ListError, OSError, ValueError, h11.ProtocolError) as error:
             self.hang_up()
             if self.next is not None:
@@ -196,6 +202,9 @@
             return False
         for name, address in news.addresses.items():
             self.addresses.learn(name, address)
+        if news.whole:
+            self.rows.clear()
+        self.rows.update((row["host"], row) for row in told["hosts"])
         if news.entries or news.whole or news.version != self.version:
             rows = [f"{e.name} {e.readiness.value}" + self.age(e) for e in news.entries]
             self.log("list", version=news.version, whole=news.whole, rows=rows[:24])
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -11,6 +11,7 @@
 from onyxhollow.facade import Facade, Handle
 from onyxhollow.interface import Customer, DialEnd, Listener, Repeat, Scope
 from onyxhollow.lifecycle.loop import Loop, Task
+from onyxhollow.lifecycle.service import Service, ServiceState
 from onyxhollow.memory.buffers import SIZE, BufferPool, LongLineError
 from onyxhollow.memory.counters import ACCEPTED, REFUSED, TORN_DOWN, Counters
 from onyxhollow.memory.tables import Addresses, SessionTable
@@ -54,13 +55,11 @@
 
     def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, addresses: Addresses, facade: Facade,
                  listeners: dict[str, Listener], customers: dict[str, Customer], load_field: str,
-                 connect_time: float, log: Callable[..., None]) -> None:  # fmt: skip
-        self.loop, self.pool, self.counters = loop, pool, counters
+                 connect_time: float, service: ServiceState, log: Callable[..., None]) -> None:  # fmt: skip
+        self.loop, self.pool, self.counters, self.service = loop, pool, counters, service
         self.facade, self.listeners, self.customers, self.log = facade, listeners, customers, log
         self.servers = Servers(loop, pool, counters, addresses, load_field, connect_time, self.malformed)
         self.dropped: dict[str, tuple[Listener, float]] = {}  # by the last reloads; until when they are taken
-        self.away = self.refusing = False  # the front is told to send nothing here; what comes is refused
-        self.leaving = False  # a successor takes clients: a front's connection ends after its next answer
         self.taken = 0  # sessions taken and not ended
         counters.open_listeners(listeners)
         self.descriptors = 1000  # connections past which room is made
@@ -270,9 +269,10 @@
                     pings, since = 0, self.loop.now
                 if (pings := pings + 1) > PINGS:
                     raise MalformedError("too many PINGs")
-                client.write(AWAY if self.shared.away else b"PONG\r\n")
+                client.write(b"PONG\r\n" if self.shared.service.answers_pings else AWAY)
                 until = self.loop.now + FRONT_LINE
-                if self.shared.leaving and not len(client.inbox):
+                if self.shared.service.is_any(Service.MAKING_WAY) and not len(client.inbox):
+                    # Its next call goes to the successor. Ended after an answer, none is on its way here.
                     table.asked(self)
                     client.finish()
                     return None
@@ -318,7 +318,9 @@
             self.answer(True)
             return
         took_at = self.loop.now
-        left = -math.inf if shared.refusing else opening.left - min(HURRY, opening.left / 10)
+        left = opening.left - min(HURRY, opening.left / 10)
+        if shared.service.is_any(Service.AWAY):
+            left = -math.inf  # the module refuses it
         handle = self.handle = shared.facade.take(
             self.wake, listener, customer, opening.group, left, opening.load
         )
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,14 +13,17 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from onyxhollow.__main__ import main
-from onyxhollow.interface import Repeat
+from onyxhollow.interface import ListKind, Repeat
 from onyxhollow.lifecycle import handover as handovers
 from onyxhollow.lifecycle import loop as loops
 from onyxhollow.lifecycle import proxy as proxies
 from onyxhollow.lifecycle.config import ConfigError, decode, needs_restart, read_config
-from onyxhollow.lifecycle.handover import Handover, given_socket
+from onyxhollow.lifecycle.handover import Handover, StateError, decode_state, encode_state, given_socket
+from onyxhollow.lifecycle.service import Service
 from onyxhollow.memory.counters import Counters
-from onyxhollow.wire import figures, sessions
+from onyxhollow.operations import figures
+from onyxhollow.recall import describe, take_back
+from onyxhollow.wire import sessions
 from onyxhollow.wire.channel import ListenError
 from onyxhollow.wire.passing import Receiver
 
@@ -155,7 +158,8 @@
     counters, odd = Counters(), 'a "quoted"\\\nname'
     counters.open_listeners([odd])
     counters.ended("accepted", odd)
-    assert read_figures(figures.render(counters.ends, []).decode())["lb_success_total", odd] == 1
+    text = figures.render([("success_total", counters.ends["accepted"])], []).decode()
+    assert read_figures(text)["lb_success_total", odd] == 1
 
 
 def test_a_server_that_failed_is_down_and_a_full_one_is_not(host, lost):
@@ -363,9 +367,9 @@
     assert new.ask("ready")[0] == 503 and old.ask("ready")[0] == 200
     overlap.taken_by(old)
     new.answer_list(LIST)
-    overlap.until(lambda: new.proxy.taking)
+    overlap.until(lambda: new.proxy.service.ready)
     assert new.ask("ready")[0] == 200
-    overlap.until(lambda: old.proxy.succeeded)
+    overlap.until(lambda: old.proxy.service.is_any(Service.REPLACED))
     overlap.taken_by(new)
     accepted = overlap.taken_by(new)
     front.say(b"PING\r\n")
@@ -382,7 +386,7 @@
     third = overlap.start()  # a successor's successor
     overlap.until(lambda: third.list.asked())
     third.answer_list(LIST)
-    overlap.until(lambda: new.proxy.succeeded)
+    overlap.until(lambda: new.proxy.service.is_any(Service.REPLACED))
     overlap.taken_by(third)
 
 
@@ -394,11 +398,11 @@
     if after_its_yes:
         overlap.until(lambda: new.list.asked())
         new.answer_list(LIST)
-        overlap.until(lambda: old.proxy.succeeded)
+        overlap.until(lambda: old.proxy.service.is_any(Service.REPLACED))
     waiting = Peer(socket.create_connection(overlap.socket.getsockname()))  # read by nobody yet
     overlap.die(new)
     waiting.say(b"PING\r\n")
-    overlap.until(lambda: waiting.read() == b"PONG\r\n" and not old.proxy.succeeded)
+    overlap.until(lambda: waiting.read() == b"PONG\r\n" and not old.proxy.service.is_any(Service.REPLACED))
     overlap.taken_by(old)
     server.say(b"still here\r\n")
     overlap.until(lambda: client.read() == b"still here\r\n" and not client.end)
@@ -408,7 +412,7 @@
     monkeypatch.setattr(proxies, "LIST_HEARD", 0.2)
     overlap.start()
     new = overlap.start()
-    overlap.until(lambda: new.proxy.taking, within=1.0)
+    overlap.until(lambda: new.proxy.service.ready, within=1.0)
 
 
 def test_a_third_process_or_a_folder_that_cant_be_used_hands_nothing_over(overlap, tmp_path, monkeypatch):
@@ -436,7 +440,7 @@
     new = overlap.start()
     overlap.until(lambda: new.list.asked())
     new.answer_list(LIST)
-    overlap.until(lambda: overlap.running[0].proxy.succeeded)
+    overlap.until(lambda: overlap.running[0].proxy.service.is_any(Service.REPLACED))
     return new
 
 
@@ -514,3 +518,111 @@
     assert len(proxy.proxy.sessions.table) == 1 and not client.end
     ends = socket.socketpair(), socket.socketpair()
     assert receiver.taken(json.dumps(record).encode(), [pair[0].detach() for pair in ends]) == b"7 taken"
+
+
+def test_a_hand_over_file_is_used_whole_or_not_at_all():
+    rows = [{"name": f"s{number}"} for number in range(5)]
+    text = encode_state("me", 100.0, {"x": 1}, rows)
+    assert decode_state(text, "me", 101.0) == ({"x": 1}, rows)
+    lines = text.split(b"\n")
+    cut = [b"\n".join(lines[:count]) + b"\n" for count in range(1, 6)]
+    cut += [text[:place] for place in range(0, len(text), 7)]
+    odd = [text + lines[1] + b"\n", text.replace(b'"version":1', b'"version":2'), b"\xff" * 90, b"[]\n"]
+    for broken in cut + odd:
+        with pytest.raises(StateError):
+            decode_state(broken, "me", 101.0)
+    for token, now in (("you", 101.0), ("me", 111.0), ("me", 90.0)):
+        with pytest.raises(StateError):
+            decode_state(text, token, now)
+
+
+def test_a_successor_knows_loads_and_distrust_and_spends_no_cold_budget_twice(start):
+    cold = {"balancers": 1, "cold_share": 0.25, "cold_time": 10.0, "fall_multiple": 2.0}
+    old, new = start(**cold), start(**cold)
+    for host in (old, new):
+        host.servers("a", "b", "c")
+        host.loads(a=0.2, b=0.2, c=0.2)
+    for _ in range(30):
+        old.take()
+    for host in (old, new):
+        host.now = 1010.0
+    old.servers("a", "b", "c")
+    old.loads(a=0.5, c=0.2)
+    for _ in range(3):
+        old.balancer.blame(old.balancer.servers["b"], 1.0)
+    for host in (old, new):
+        host.servers("d", kind=ListKind.CHANGES, started=1009.0)
+    budget = old.balancer.budget
+    budget.tokens[old.balancer.servers["d"]] = (0.1, old.now)  # the rest is spent
+    common, records = json.loads(json.dumps(describe(old.balancer)))
+    for broken in ({"load": -1}, {"distrust": float("nan")}, {"set_up": [1]}, {"tokens": True}):
+        with pytest.raises((ValueError, TypeError)):
+            take_back(new.balancer, common, [*records[:3], {**records[3], **broken}])
+    assert new.balancer.avoided() == (4, 0)  # nothing of it was used
+    assert take_back(new.balancer, common, [*records, {**records[0], "name": "nobody"}]) == 4
+    servers = new.balancer.servers
+    assert new.balancer.avoided() == (4, 1) and servers["b"].score(new.now) > 2.9
+    assert 0.5 <= servers["a"].load < 0.6 and servers["a"].heard and servers["d"].arrival
+    assert new.balancer.budget.tokens[servers["d"]] == (pytest.approx(0.1), new.now)
+    assert new.balancer.budget.rate(new.now) == pytest.approx(old.balancer.budget.rate(old.now))
+
+
+def test_a_successor_goes_on_from_the_old_ones_list_where_discovery_is_silent(overlap, monkeypatch):
+    monkeypatch.setattr(proxies, "LIST_HEARD", 0.4)
+    old = overlap.start()
+    rows = [old.row("a"), old.row("a", "leaving") | {"host": "b"}]
+    whole = {"seq": 41, "whole": True, "hosts": rows}
+    old.answer_list(json.dumps(whole).encode())
+    overlap.until(lambda: len(old.proxy.facade.balancer.servers) == 2)
+    new = overlap.start(known=False)
+    old.proxy.discovery.address = new.config.discovery  # one service for both
+    overlap.until(lambda: new.proxy.service.ready)
+    told = {server.name: server.readiness.value for server in new.proxy.facade.balancer.servers.values()}
+    assert told == {"a": "in service", "b": "draining"} and new.proxy.discovery.version == 41
+
+
+def test_a_connection_accepted_and_unread_at_the_stop_is_served_by_the_old_one(overlap):
+    old = overlap.start()
+    early = Peer(socket.create_connection(overlap.socket.getsockname()))
+    overlap.until(lambda: old.counts["connections accepted"])
+    new = replaced(overlap)
+    old.proxy.loop.spawn(old.proxy.stop())
+    overlap.until(lambda: old.proxy.service.stopping)
+    early.say(b"OPEN 9b1f77 7f3a c=calls,d=2000\r\n")
+    server = overlap.until(lambda: old.toys["a"].asked())
+    server.say(b"UP r\r\n")
+    overlap.until(lambda: early.read() == b"UP r\r\n" and new.counts["connections taken over"] == 1)
+
+
+def test_answers_of_servers_and_list_are_read_whatever_their_pieces(loopback):
+    for cut in range(1, 7):
+        proxy = loopback()
+        client, server = proxy.open(), proxy.until(lambda p=proxy: p.toys["a"].asked())
+        server.say(b"UP r1\r\n"[:cut])
+        proxy.idle(0.01)
+        assert not client.read()
+        server.say(b"UP r1\r\n"[cut:])
+        proxy.until(lambda c=client: c.read() == b"UP r1\r\n")
+    peer = proxy.until(lambda: proxy.list.asked())
+    body = json.dumps({"seq": 8, "whole": True, "hosts": [proxy.row("a", health="leaving")]}).encode()
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    for place in range(len(answer)):
+        assert proxy.proxy.discovery.version == 7
+        peer.say(answer[place : place + 1])
+        proxy.proxy.loop.turn(0.0)
+    proxy.until(lambda: proxy.proxy.discovery.version == 8)
+
+
+def test_a_client_that_reads_nothing_is_not_held_past_the_time_for_sending_away(served, monkeypatch):
+    monkeypatch.setattr(proxies, "STILL_COMING", 0.05)
+    monkeypatch.setattr(proxies, "AWAY_SPAN", 0.5)
+    monkeypatch.setattr(proxies, "LAST_LINES", 0.1)
+    proxy = served()
+    client, server = proxy.standing()
+    (live,) = proxy.proxy.sessions.table.live
+    live.client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    while not live.client.out:
+        server.say(b"x" * 1000 + b"\r\n")
+        proxy.proxy.loop.turn(0.001)
+    proxy.ask("out-of-service", "POST")
+    proxy.until(lambda: live.client.closed, within=1.5)
