Sending away takes the time there is: from 0.4 to 3.5 s, in parts of a connection a step

Cause: moves ended 0.6 s before the 4 s were over, and a step's part was rounded up (6 to 8 a fifth of a second at first with 81 clients, 4 later): the other proxy's servers got their set-ups in 2.4 s. Ruled out: operators' calls (none late), the front (nothing came after the no).

--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -46,7 +46,10 @@
 LOOK = 0.1  # seconds from look to look at what the other process of this proxy does
 LAST_LINES = 0.4  # seconds for last lines on their way out
 PASS_STEP = 0.005  # seconds from one group of connections passed on to the next
-AWAY_SPAN = 3.4  # seconds from an operator's word by which all clients have been told to move
+AWAY_SPAN = 3.6  # seconds from an operator's word by which all clients have been told to move
+AWAY_FROM = 0.4  # seconds from it to the first that is moved: until then the front may send them back here
+AWAY_MARGIN = 0.1  # seconds before the end of that span by which the mover is through
+AWAY_HELD = 0.2  # seconds past it for which one that reads nothing is held
 
 
 class Proxy:
@@ -163,8 +166,8 @@
         def wanted() -> bool:
             return self.service.is_any(Service.LEAVING) and self.drains == this
 
-        yield from self.loop.sleep(STILL_COMING)
-        yield from self.send_away(last, wanted)
+        yield from self.loop.sleep(AWAY_FROM)
+        yield from self.send_away(last - AWAY_MARGIN, wanted)
         yield from self.loop.sleep(last - self.loop.now)
         if wanted():
             self.service.state = Service.AWAY
@@ -172,7 +175,7 @@
             for sess in left:
                 sess.stop()
             self.log.event("sent away", left=len(left), took=round(self.loop.now - began, 2))
-            yield from self.loop.sleep(LAST_LINES)
+            yield from self.loop.sleep(AWAY_HELD)
             for close, since in list(self.pool.leaving.items()):
                 if since <= last:  # told to move, and reads nothing: it must not be held beyond the time
                     close()
@@ -433,7 +436,9 @@
             self.service.state = Service.STOPPING
             yield from self.loop.sleep(STILL_COMING)
         self.stop_listening()
-        yield from self.send_away(last, lambda: bool(self.sessions.table.live))
+        yield from self.send_away(last - STOP_MARGIN / 2, lambda: bool(self.sessions.table.live))
+        if self.sessions.table.live:
+            yield from self.loop.sleep(last - self.loop.now)
         for sess in list(self.sessions.table.live):
             sess.stop()
         until = self.loop.now + LAST_LINES
@@ -444,10 +449,12 @@
 
     def send_away(self, last: float, wanted: Callable[[], bool]) -> Generator[float, None, None]:
         """Moves open connections one after another, spread over the time until `last`."""
+        due = 0.0
         while wanted() and (now := self.loop.now) < last:
             open_ones = [sess for sess in self.sessions.table.live if sess.open and not sess.stopping]
-            share = STOP_STEP / max(STOP_STEP, last - STOP_MARGIN / 2 - now)
-            for sess in open_ones[: math.ceil(len(open_ones) * share)]:
+            due += len(open_ones) * STOP_STEP / max(STOP_STEP, last - now)
+            due, whole = math.modf(due)
+            for sess in open_ones[: int(whole)]:
                 sess.stop()
             yield from self.loop.sleep(STOP_STEP)
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -171,7 +171,7 @@
 
 
 def test_clients_are_sent_away_between_lines_and_what_still_comes_is_served(served, monkeypatch):
-    monkeypatch.setattr(proxies, "STILL_COMING", 0.1)
+    monkeypatch.setattr(proxies, "AWAY_FROM", 0.1)
     monkeypatch.setattr(proxies, "AWAY_SPAN", 0.8)
     proxy = served()
     front = proxy.client(b"PING\r\n")
@@ -199,7 +199,7 @@
 
 
 def test_taken_back_half_way_those_not_moved_yet_stay(served, monkeypatch):
-    monkeypatch.setattr(proxies, "STILL_COMING", 0.05)
+    monkeypatch.setattr(proxies, "AWAY_FROM", 0.05)
     proxy = served()
     clients = [proxy.standing()[0] for _ in range(12)]
     proxy.ask("out-of-service", "POST")
@@ -614,9 +614,9 @@
 
 
 def test_a_client_that_reads_nothing_is_not_held_past_the_time_for_sending_away(served, monkeypatch):
-    monkeypatch.setattr(proxies, "STILL_COMING", 0.05)
+    monkeypatch.setattr(proxies, "AWAY_FROM", 0.05)
     monkeypatch.setattr(proxies, "AWAY_SPAN", 0.5)
-    monkeypatch.setattr(proxies, "LAST_LINES", 0.1)
+    monkeypatch.setattr(proxies, "AWAY_HELD", 0.1)
     proxy = served()
     client, server = proxy.standing()
     (live,) = proxy.proxy.sessions.table.live
