Servers that look full by a guess alone are asked for their load while sessions wait

Lines at fault: look (fill from own connections over everybody's load) and load_of.

Kept: only where own connections have grown by half since the report, and not where they are few on the whole.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -38,7 +38,7 @@
 BRIM_KEPT = 0.9  # of what reports told of load a connection, from report to report
 NEAR, NEAR_LOAD = 10.0, 0.45  # fleet's load per crossing price, and own load, to which near homes go first
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
-CHANCE = 3.0  # own connections a server to which differences between servers are mostly chance
+CHANCE, GROWN = 3.0, 1.5  # own connections a server that are mostly chance; growth that outdates a report
 REPORT_AGE, ASK_FOR = 1.0, 0.1  # seconds: a report good enough to place by; time to answer when asked
 HOMES, GROUPS = 8, 1024  # places on the ring that a group's homes stand at; groups whose demand is counted
 LEAST, MOST = 16, 64  # servers a balancer works with at the least, if there are so many, and at the most
@@ -85,8 +85,7 @@
 
 class Server:
     def __init__(self, entry: Entry) -> None:
-        self.places: list[float] = []  # on the ring of homes
-        self.size = 1.0  # as registered
+        self.places, self.size = list[float](), 1.0  # on the ring of homes; as registered
         self.held, self.held_at = 0.0, -math.inf  # connections a core, of all balancers, as the list tells
         self.learn(entry)
         self.connections: dict[Session, None] = {}  # dials out and connections open, in order of placing
@@ -279,10 +278,9 @@
             self.demand.clear()
         self.list_lost = settings.watched or self.list_failures > 0
         self.settle(settings)
-        own = sum(len(s.connections) for s in self.servers.values())
         weights, groups = "live" if self.live_sizes else "sizes", "on" if self.share_groups else "off"
         self.host.log(f"settings: weights {weights}, groups {groups}, probes {self.probes:g} a session, "
-                      f"balancers {self.balancers}, own connections {own}")  # fmt: skip
+                      f"balancers {self.balancers}, own connections {self.held.total()}")  # fmt: skip
         self.draw_working()
 
     def later(self, wait: float, call: Callable[[], None]) -> None:
@@ -307,6 +305,11 @@
                 self.waiting = waiting[place:] + self.waiting
                 break
             self.dial(sess)
+        for s in self.working if self.waiting and self.probes and not self.sparse else ():
+            due = self.host.now - s.probed_at >= 2 * ASK_FOR and len(s.connections) > GROWN * s.load_count
+            if due and s.load < FULL_LOAD <= self.load_of(s):  # full by a guess alone, as many have come
+                s.probed_at = self.host.now
+                self.host.probe(s.name)
 
     def value(self, sess: Session) -> tuple[bool, float]:
         """Overload: those of most utility first, less if their customer holds more than its share."""
@@ -328,8 +331,7 @@
         room = sum(s.size * (NEAR * self.crossing_price - self.load_of(s)) for s in self.working)
         self.calm = room > 0.0  # then a group may meet once a zone: work is to spare, and crossings cost
         self.open_share = sum(map(self.well, self.working)) / max(1, len(self.working))  # those with room
-        # Own connections per size that fill a server: with few a server only their sum tells, over the load
-        # that servers report on the whole; lacking any, what new ones a server gets over a warm-up.
+        # Own connections per size that fill a server, over the load reported of all; else a warm-up's new.
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
         load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
         self.fill = self.mean / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
@@ -378,8 +380,7 @@
             if self.list_failures:
                 self.host.log(f"list watched: failures before {self.list_failures}")
             self.list_lost, self.list_failures = False, 0
-        entries = list(entries)
-        self.learn_sizes(entries)
+        self.learn_sizes(entries := list(entries))
         first, absent = not self.servers, set(self.servers) if kind is not ListKind.CHANGES else set()
         for entry in entries:
             absent.discard(entry.name)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -610,3 +610,25 @@
     host.servers("a", "b", size=2.0, kind_="m")
     assert (a.size, a.held, b.size) == (2.0, 0.0, 2.0)
     assert sess.server in (a, b) and sess in sess.server.connections and len(host.asked("dial")) == 1
+
+
+def test_servers_full_by_a_guess_alone_are_asked_while_sessions_wait(start):
+    # Back from a drain: few own connections where others hold many, so each new one looks like a tenth of it.
+    host = start(probes=True, probe_price=0.001, balancers=2)
+    host.servers("a", "b")
+    host.loads(a=0.4, b=0.4)
+    for _ in range(14):
+        host.take()
+    host.wait(0.6)
+    host.loads(a=0.4, b=0.4)
+    held = [len(server.connections) for server in host.balancer.servers.values()]
+    asked = len(host.asked("probe"))
+    while not host.balancer.waiting:
+        host.take()
+    host.wait(0.45)
+    grown = [len(server.connections) for server in host.balancer.servers.values()]
+    assert any(new > 1.5 * old for new, old in zip(grown, held, strict=True))
+    assert 2 <= len(host.asked("probe")) - asked <= 6
+    host.loads(a=0.4, b=0.4)
+    host.wait(0.1)
+    assert not host.balancer.waiting
