A successor that is told to stop gives the clients back at once

Cause: found by reading: the old process goes by the successor's word, which stayed at taking until its lock was gone, so for the 3 s of a stop nobody would have accepted from 0.5 s on. Story: fails on the code before (the old one stays replaced).

--- a/onyxhollow/lifecycle/handover.py
+++ b/onyxhollow/lifecycle/handover.py
@@ -21,7 +21,7 @@
 from onyxhollow.wire.channel import ListenError
 
 VERSION = 1  # of what stands in the files; another's is not read
-STARTING, TAKING = "starting", "taking"  # what a successor says
+STARTING, TAKING, STOPPING = "starting", "taking", "stopping"  # what a successor says
 LARGEST = 4 * 1024 * 1024  # bytes of what is handed over
 BEGIN_WITHIN = 1.0  # seconds in which the part of the successor comes free, if one has just moved up
 STALE = 10.0  # seconds after which what was written down says too little
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -17,7 +17,7 @@
 from onyxhollow.facade import Facade
 from onyxhollow.interface import DialEnd, Entry, ListKind
 from onyxhollow.lifecycle.config import Config, ConfigError, needs_restart, read_config
-from onyxhollow.lifecycle.handover import STARTING, TAKING, Handover, StateError, given_socket
+from onyxhollow.lifecycle.handover import STARTING, STOPPING, TAKING, Handover, StateError, given_socket
 from onyxhollow.lifecycle.log import Log
 from onyxhollow.lifecycle.loop import READ, Loop, Task
 from onyxhollow.lifecycle.service import Service, ServiceState
@@ -427,6 +427,7 @@
         began, last = self.loop.now, self.loop.now + self.stop_span
         self.log.event("stop", live=len(self.sessions.table), within=round(self.stop_span, 2))
         if self.handover is not None:
+            self.handover.say(STOPPING)  # called off, a successor gives the clients back
             self.look_at_successor(self.handover)
         if self.service.is_any(Service.REPLACED):  # nothing new comes here
             self.service.state = Service.MAKING_WAY
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -626,3 +626,14 @@
         proxy.proxy.loop.turn(0.001)
     proxy.ask("out-of-service", "POST")
     proxy.until(lambda: live.client.closed, within=1.5)
+
+
+def test_a_successor_that_is_called_off_gives_the_clients_back_before_it_ends(overlap):
+    old = overlap.start()
+    new = replaced(overlap)
+    overlap.taken_by(new)
+    new.proxy.loop.spawn(new.proxy.stop())
+    overlap.until(lambda: not old.proxy.service.is_any(Service.REPLACED), within=0.4)
+    assert new.proxy.loop.running
+    overlap.until(lambda: not new.proxy.loop.running)
+    overlap.taken_by(old)
