--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -637,3 +637,16 @@
     assert new.proxy.loop.running
     overlap.until(lambda: not new.proxy.loop.running)
     overlap.taken_by(old)
+
+
+def test_a_stop_while_clients_are_sent_away_ends_as_usual_and_figures_go_on(served):
+    proxy = served()
+    clients = [proxy.standing()[0] for _ in range(5)]
+    proxy.proxy.stop_span = 0.9
+    proxy.ask("out-of-service", "POST")
+    proxy.proxy.loop.spawn(proxy.proxy.stop())
+    proxy.until(lambda: proxy.proxy.service.stopping)
+    assert proxy.ask("in-service", "POST")[0] == proxy.ask("ready")[0] == 503
+    assert read_figures(proxy.ask("counters")[1])["lb_inflight", None] == 5
+    proxy.until(lambda: not proxy.proxy.loop.running, within=2.5)
+    assert all(client.read() == b"MOVE\r\n" for client in clients) and not proxy.proxy.sessions.taken
