--- a/benchmarks/replace.py
+++ b/benchmarks/replace.py
@@ -140,9 +140,10 @@
         for door in self.doors:
             door.setblocking(False)
             self.selector.register(door, selectors.EVENT_READ, lambda d=door: Serving(self, d.accept()[0]))
-        hosts = [{"host": f"s{number}", "dial": "127.0.0.1:%d" % door.getsockname()[1], "health": "active"}
+        hosts = [{"host": f"s{number}", "dial": f"127.0.0.1:{door.getsockname()[1]}", "health": "active"}
                  for number, door in enumerate(self.doors)]  # fmt: skip
-        self.list = serve_list({"seq": 1, "whole": True, "hosts": hosts})
+        self.known = {"seq": 1, "whole": True, "hosts": hosts}
+        self.list = serve_list(self.known)
         self.next_new = time.monotonic()
 
     def turn(self) -> None:
@@ -169,7 +170,7 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             port = free.getsockname()[1]
         config = json.loads((ROOT / "example" / "config.json").read_text())
-        config["discovery"] = "127.0.0.1:%d" % self.list.server_address[1]
+        config["discovery"], config["known"] = f"127.0.0.1:{self.list.server_address[1]}", self.known
         config["settings"]["listeners"][0]["name"] = "calls"
         config["limits"]["sockets"] = 8192
         path = self.folder / f"{number}.json"
@@ -185,7 +186,7 @@
 
     def ready(self, child: subprocess.Popen[bytes], port: int) -> bool:
         if child.poll() is not None:
-            raise SystemExit(f"replace: exited with {child.returncode}: {(self.folder / 'log').read_text()[-500:]}")
+            raise SystemExit(f"replace: exit {child.returncode}: {(self.folder / 'log').read_text()[-500:]}")
         try:
             with socket.create_connection(("127.0.0.1", port), timeout=1.0) as sock:
                 sock.sendall(b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n")
@@ -213,6 +214,7 @@
 
     server = ThreadingHTTPServer(("127.0.0.1", 0), Desk)
     server.daemon_threads = True
+    server.handle_error = lambda *_: None  # a process that ends leaves its watch
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
 
@@ -261,7 +263,7 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(description="Replaces a proxy under load, over and over.")
     parser.add_argument("--quick", action="store_true", help="100 connections, 3 replacements")
     parser.add_argument("--connections", type=int, default=500)
     parser.add_argument("--replacements", type=int, default=10)
