Out of service with a successor, called off while starting, told and reading nothing: three gaps

Found by reading the whole change, each shown or covered by a story: an old process out of service went on accepting beside its successor and refused what it took (being replaced is a fact beside the state now); a successor stopped before its yes still said that it takes clients; a client told to move in the last instant of sending away could be held 10 s if it read nothing.

--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -177,7 +177,7 @@
             self.log.event("sent away", left=len(left), took=round(self.loop.now - began, 2))
             yield from self.loop.sleep(AWAY_HELD)
             for close, since in list(self.pool.leaving.items()):
-                if since <= last:  # told to move, and reads nothing: it must not be held beyond the time
+                if since < self.loop.now - AWAY_HELD / 2:  # told to move, reads nothing: it must not be held
                     close()
 
     # told by the wire
@@ -258,9 +258,10 @@
             yield from self.take_back(handover, began + STATE_WAIT)
             while not self.list_heard and self.loop.now < began + LIST_HEARD:
                 yield began + LIST_HEARD
+            if self.service.stopping:
+                return
             receiver = self.receive(handover)
-            if self.service.is_any(Service.STARTING):
-                self.service.state = Service.IN_SERVICE
+            self.service.state = Service.IN_SERVICE
             self.take_clients()
             handover.say(TAKING, receiver.path if receiver else "")
             self.log.event("successor", list_heard=self.list_heard, took=round(self.loop.now - began, 3))
@@ -345,11 +346,10 @@
         if heard.get("state") == STARTING and (token := str(heard.get("token", ""))) != handover.written_for:
             self.hand_over(handover, token)
         state, self.successor_path = heard.get("state", ""), str(heard.get("path", ""))
-        before, after = self.service.state, Service.REPLACED if state == TAKING else Service.IN_SERVICE
-        if self.service.ready and before is not after:
-            self.service.state = after
-            self.log.event("replaced" if after is Service.REPLACED else "successor gone",
-                           live=self.sessions.taken)  # fmt: skip
+        if (state == TAKING) is not self.service.replaced:
+            self.service.replaced = state == TAKING
+            change = "replaced" if self.service.replaced else "successor gone"
+            self.log.event(change, live=self.sessions.taken)
             self.take_clients()
 
     def failed(self, where: str, error: BaseException) -> None:
@@ -429,7 +429,7 @@
         if self.handover is not None:
             self.handover.say(STOPPING)  # called off, a successor gives the clients back
             self.look_at_successor(self.handover)
-        if self.service.is_any(Service.REPLACED):  # nothing new comes here
+        if self.service.replaced:  # nothing new comes here
             self.service.state = Service.MAKING_WAY
             if self.successor_path:
                 yield from self.pass_on(self.successor_path, last)
--- a/onyxhollow/lifecycle/service.py
+++ b/onyxhollow/lifecycle/service.py
@@ -10,14 +10,14 @@
     IN_SERVICE = "in service"
     LEAVING = "leaving"  # sent out of service: what still comes is served, open connections are moved
     AWAY = "out of service"  # that is done: what comes is refused
-    REPLACED = "replaced"  # a successor takes the clients; if it dies, this process does again
-    MAKING_WAY = "making way"  # and this process has been told to stop
+    MAKING_WAY = "making way"  # told to stop, and a successor takes the clients
     STOPPING = "stopping"  # told to stop, with no successor
 
 
 class ServiceState:
     def __init__(self, state: Service) -> None:
         self.state = state
+        self.replaced = False  # a successor takes the clients; if it dies, this process does again
 
     def is_any(self, *states: Service) -> bool:
         return self.state in states
@@ -25,7 +25,7 @@
     @property
     def ready(self) -> bool:
         """A replaced process says yes until it is told to stop: it is still one that can take clients."""
-        return self.is_any(Service.IN_SERVICE, Service.REPLACED)
+        return self.is_any(Service.IN_SERVICE)
 
     @property
     def answers_pings(self) -> bool:
@@ -38,4 +38,4 @@
 
     @property
     def accepts(self) -> bool:
-        return not self.is_any(Service.STARTING, Service.REPLACED, Service.MAKING_WAY)
+        return not self.replaced and not self.is_any(Service.STARTING)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -19,7 +19,6 @@
 from onyxhollow.lifecycle import proxy as proxies
 from onyxhollow.lifecycle.config import ConfigError, decode, needs_restart, read_config
 from onyxhollow.lifecycle.handover import Handover, StateError, decode_state, encode_state, given_socket
-from onyxhollow.lifecycle.service import Service
 from onyxhollow.memory.counters import Counters
 from onyxhollow.operations import figures
 from onyxhollow.recall import describe, take_back
@@ -369,7 +368,7 @@
     new.answer_list(LIST)
     overlap.until(lambda: new.proxy.service.ready)
     assert new.ask("ready")[0] == 200
-    overlap.until(lambda: old.proxy.service.is_any(Service.REPLACED))
+    overlap.until(lambda: old.proxy.service.replaced)
     overlap.taken_by(new)
     accepted = overlap.taken_by(new)
     front.say(b"PING\r\n")
@@ -386,7 +385,7 @@
     third = overlap.start()  # a successor's successor
     overlap.until(lambda: third.list.asked())
     third.answer_list(LIST)
-    overlap.until(lambda: new.proxy.service.is_any(Service.REPLACED))
+    overlap.until(lambda: new.proxy.service.replaced)
     overlap.taken_by(third)
 
 
@@ -398,11 +397,11 @@
     if after_its_yes:
         overlap.until(lambda: new.list.asked())
         new.answer_list(LIST)
-        overlap.until(lambda: old.proxy.service.is_any(Service.REPLACED))
+        overlap.until(lambda: old.proxy.service.replaced)
     waiting = Peer(socket.create_connection(overlap.socket.getsockname()))  # read by nobody yet
     overlap.die(new)
     waiting.say(b"PING\r\n")
-    overlap.until(lambda: waiting.read() == b"PONG\r\n" and not old.proxy.service.is_any(Service.REPLACED))
+    overlap.until(lambda: waiting.read() == b"PONG\r\n" and not old.proxy.service.replaced)
     overlap.taken_by(old)
     server.say(b"still here\r\n")
     overlap.until(lambda: client.read() == b"still here\r\n" and not client.end)
@@ -440,7 +439,7 @@
     new = overlap.start()
     overlap.until(lambda: new.list.asked())
     new.answer_list(LIST)
-    overlap.until(lambda: overlap.running[0].proxy.service.is_any(Service.REPLACED))
+    overlap.until(lambda: overlap.running[0].proxy.service.replaced)
     return new
 
 
@@ -628,12 +627,24 @@
     proxy.until(lambda: live.client.closed, within=1.5)
 
 
+def test_an_old_process_out_of_service_leaves_the_clients_to_its_successor(overlap):
+    old = overlap.start()
+    client, _ = old.standing()
+    old.ask("out-of-service", "POST")
+    new = replaced(overlap)
+    for _ in range(4):
+        overlap.taken_by(new)
+    old.proxy.loop.spawn(old.proxy.stop())
+    overlap.until(lambda: new.counts["connections taken over"] == 1 or client.read() == b"MOVE\r\n")
+    overlap.until(lambda: not old.proxy.loop.running)
+
+
 def test_a_successor_that_is_called_off_gives_the_clients_back_before_it_ends(overlap):
     old = overlap.start()
     new = replaced(overlap)
     overlap.taken_by(new)
     new.proxy.loop.spawn(new.proxy.stop())
-    overlap.until(lambda: not old.proxy.service.is_any(Service.REPLACED), within=0.4)
+    overlap.until(lambda: not old.proxy.service.replaced, within=0.4)
     assert new.proxy.loop.running
     overlap.until(lambda: not new.proxy.loop.running)
     overlap.taken_by(old)
