--- a/benchmarks/replace.py
+++ b/benchmarks/replace.py
@@ -3,7 +3,8 @@
     python benchmarks/replace.py [--quick] [--connections N] [--replacements K]
 
 Every connection sends numbered lines, some of them in two pieces, and checks each echo; new clients come all
-the while. The last line is one JSON object.
+the while. Every fourth successor is killed after its yes: the old one must go on. The last line is one JSON
+object.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 EVERY = 0.02  # seconds from a line's echo to the next line of its connection
 NEW_EVERY = 0.02  # seconds from one new client to the next
+KILLED = 4  # each so-maniest successor is
 WITHIN = 10.0  # seconds for a process to start or end, and for the last echoes
 
 
@@ -222,7 +224,7 @@
 def play(connections: int, replacements: int, folder: Path) -> dict[str, Any]:
     bench = Bench(folder)
     child, port = bench.start(0)
-    children, ready, ended = [child], [], []
+    children, ready, ended, killed, by_kills = [child], [], [], 0, 0
     try:
         bench.next_new = time.monotonic() + WITHIN
         bench.until(lambda: bench.ready(child, port), "the first start")
@@ -236,6 +238,14 @@
             old, (child, port) = child, bench.start(number)
             children.append(child)
             ready.append(bench.until(lambda c=child, p=port: bench.ready(c, p), "a successor's yes"))
+            if number % KILLED == 0:
+                killed, before = killed + 1, bench.cut
+                child.kill()
+                settle = time.monotonic() + 0.5
+                bench.until(lambda s=settle: time.monotonic() >= s, "traffic after a kill")
+                by_kills += bench.cut - before  # those that it had accepted
+                child = old
+                continue
             old.send_signal(signal.SIGTERM)
             ended.append(bench.until(lambda o=old: o.poll() is not None, "the old one's end"))
             settle = time.monotonic() + 0.3
@@ -254,7 +264,8 @@
     return {
         "connections": connections, "replacements": replacements, "lines": bench.lines,
         "lines_wrong": bench.wrong, "clients_moved": bench.moved, "connections_lost": lost,
-        "cut_at_the_door": bench.cut, "new_clients": bench.opened - connections,
+        "successors_killed": killed, "cut_with_them": by_kills,
+        "cut_at_the_door": bench.cut - by_kills, "new_clients": bench.opened - connections,
         "ready_s": [round(min(ready), 2), round(max(ready), 2)],
         "old_ended_s_max": round(max(ended), 2), "pause_ms_max": round(pauses[-1] * 1000, 1),
         "pause_ms_p99": round(pauses[len(pauses) * 99 // 100] * 1000, 1),
@@ -264,11 +275,11 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(description="Replaces a proxy under load, over and over.")
-    parser.add_argument("--quick", action="store_true", help="100 connections, 3 replacements")
+    parser.add_argument("--quick", action="store_true", help="100 connections, 4 replacements")
     parser.add_argument("--connections", type=int, default=500)
     parser.add_argument("--replacements", type=int, default=10)
     told = parser.parse_args()
-    size = (100, 3) if told.quick else (told.connections, told.replacements)
+    size = (100, 4) if told.quick else (told.connections, told.replacements)
     with tempfile.TemporaryDirectory() as folder:
         result = play(*size, Path(folder))
     print(json.dumps(result))
