--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -121,7 +121,7 @@
             "/control/out-of-service": {"POST": self.out_of_service},
             "/control/in-service": {"POST": self.in_service},
         }
-        return Management(self.loop, config.management, self.counters, routes, self.log.event)
+        return Management(self.loop, config.management, self.counters, routes)
 
     def tell_ready(self) -> Answer:
         if not self.service.ready:
--- a/onyxhollow/operations/management.py
+++ b/onyxhollow/operations/management.py
@@ -26,11 +26,10 @@
     """Callers are served in their descriptors' own callbacks, and those are looked at in the middle of a long
     turn of the loop: no session is waited for, and none of theirs is counted among the sessions'."""
 
-    def __init__(self, loop: Loop, address: Address, counters: Counters, routes: Routes,
-                 log: Callable[..., None]) -> None:  # fmt: skip
+    def __init__(self, loop: Loop, address: Address, counters: Counters, routes: Routes) -> None:
         self.listener = listen_socket(address, "management")
         self.loop, self.hurry, self.pool = loop, Hurry(loop), BufferPool()
-        self.counters, self.routes, self.log = counters, routes, log
+        self.counters, self.routes = counters, routes
         self.most = 16  # connections; past them the longest without a whole call makes room
         self.callers: dict[Caller, None] = {}  # without a whole call yet, in order of their coming
         self.sweeper = loop.spawn(self.sweep())
@@ -86,12 +85,6 @@
             self.loop.failed("management", error)
             return (500, b"failed\n", PLAIN), ""
 
-    def close(self) -> None:
-        self.hurry.watch(self.listener.fileno(), 0, None)
-        self.listener.close()
-        for caller in list(self.callers):
-            caller.leave()
-
 
 class Caller:
     def __init__(self, shared: Management, sock: socket.socket) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -161,7 +161,7 @@
     assert read_figures(text)["lb_success_total", odd] == 1
 
 
-def test_a_server_that_failed_is_down_and_a_full_one_is_not(host, lost):
+def test_a_server_that_failed_is_down_and_a_full_one_is_not(host):
     host.servers("a", "b", "c")
     host.loads(a=0.9)
     for _ in range(3):
