--- a/onyxhollow/lifecycle/loop.py
+++ b/onyxhollow/lifecycle/loop.py
@@ -20,6 +20,16 @@
 SOON = 0.02  # seconds of one turn after which descriptors in a hurry are looked at between its callbacks
 
 
+def listen_for(epoll: select.epoll, fd: int, before: int, events: int) -> None:
+    """From what it was told to listen for on a descriptor to what it shall from now on; 0: nothing."""
+    if not before and events:
+        epoll.register(fd, events)
+    elif before and not events:
+        epoll.unregister(fd)
+    elif before != events:
+        epoll.modify(fd, events)
+
+
 class Task:
     __slots__ = ("loop", "steps", "until", "armed", "queued", "done")
 
@@ -56,13 +66,10 @@
         known = self.watched.get(fd)
         if events and call:
             self.watched[fd] = (events, call)
-            if known is None:
-                self.epoll.register(fd, events)
-            elif known[0] != events:
-                self.epoll.modify(fd, events)
+            listen_for(self.epoll, fd, known[0] if known else 0, events)
         elif known:
             del self.watched[fd]
-            self.epoll.unregister(fd)
+            listen_for(self.epoll, fd, known[0], 0)
 
     def step(self, task: Task) -> None:
         task.queued = False
@@ -146,13 +153,8 @@
         return self.loop.now
 
     def watch(self, fd: int, events: int, call: Callable[[int], None] | None) -> None:
-        if events and call:
-            if fd not in self.loop.watched:
-                self.epoll.register(fd, events)
-            elif self.loop.watched[fd][0] != events:
-                self.epoll.modify(fd, events)
-        elif fd in self.loop.watched:
-            self.epoll.unregister(fd)
+        known = self.loop.watched.get(fd)
+        listen_for(self.epoll, fd, known[0] if known else 0, events if call else 0)
         self.loop.watch(fd, events, call)
 
     def look(self) -> None:
