A call for the list is a watch from the first on; the watches of a large fleet wait longer

Ruled out: slow proxies (0.2 s CPU a second), list size (13 lines), the module's waits (0.25 to 2.5 s, drawn by chance). At fault: wire/discovery.py, follow(): a first call that only asks takes two turns instead of one and waits 2 s at the most where a watch waits 7 s; the wait was half the asking interval whatever the number of proxies. And a call asked for again while it was out was made again at once when it failed, past the module's waits. Now: a watch at once (a successor still asks first), and together two calls a second while there is no news.

--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -27,7 +27,7 @@
 from onyxhollow.operations import figures
 from onyxhollow.operations.management import PLAIN, Answer, Management
 from onyxhollow.wire.channel import OUR_OWN, ListenError, listen_socket
-from onyxhollow.wire.discovery import Discovery, ServerList, read_list
+from onyxhollow.wire.discovery import Discovery, ServerList, read_list, watch_wait
 from onyxhollow.wire.passing import Passing, Receiver
 from onyxhollow.wire.probes import Probes
 from onyxhollow.wire.sessions import Sessions
@@ -69,10 +69,10 @@
         for name, address in config.known.addresses.items():
             self.addresses.learn(name, address)
         self.discovery = Discovery(
-            self.loop, self.pool, self.counters, config.discovery, wait=settings.ask_within / 2,
-            clock_ahead=clock_ahead, version=config.known.version, pushed=not settings.watched,
-            addresses=self.addresses,
-            told=self.list_told, log=self.log.event,
+            self.loop, self.pool, self.counters, config.discovery,
+            wait=watch_wait(settings.ask_within, settings.balancers), clock_ahead=clock_ahead,
+            version=config.known.version, pushed=not settings.watched, addresses=self.addresses,
+            told=self.list_told, log=self.log.event, soon=follows,
         )  # fmt: skip
         self.probes = Probes(
             self.loop, self.pool, self.counters, self.addresses, settings.load_field, config.probe_time,
@@ -412,7 +412,8 @@
         settings = config.settings
         self.sessions.settle(settings.listeners, settings.customers, settings.load_field, config.connect_time)
         self.probes.settle(settings.load_field, config.probe_time)
-        self.discovery.settle(settings.ask_within / 2, pushed=not settings.watched)
+        wait = watch_wait(settings.ask_within, settings.balancers)
+        self.discovery.settle(wait, pushed=not settings.watched)
         self.facade.resettle(settings)
 
     def print_counters(self) -> None:
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -20,9 +20,17 @@
 READY = {"active": Readiness.IN_SERVICE, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 ANSWER = 3.5  # seconds for an answer beyond the wait asked for: a busy list works through calls in turn
 ASK_AGAIN = 0.5  # seconds after a failure where the module leaves the asking to its host
+CALLS = 2.0  # calls a second that the watches of a fleet make together while there is no news
+LONGEST_WAIT = 60.0  # seconds: the protocol's
 LARGEST = 4 * 1024 * 1024  # bytes of one list
 
 
+def watch_wait(ask_within: float, balancers: int) -> float:
+    """How long a watch waits for news. The service works through the calls of all in turn: short waits of
+    many keep it busy with calls that have nothing to tell, and what it has to tell comes late."""
+    return min(LONGEST_WAIT, max(ask_within / 2, balancers / CALLS))
+
+
 class ListError(Exception):
     """An answer that is not a list of servers."""
 
@@ -127,11 +135,12 @@
     def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, address: Address, wait: float,
                  clock_ahead: float, version: int, pushed: bool, addresses: Addresses,
                  told: Callable[[ListKind, list[Entry]], None],
-                 log: Callable[..., None]) -> None:  # fmt: skip
+                 log: Callable[..., None], soon: bool = False) -> None:  # fmt: skip
         self.loop, self.pool, self.counters, self.address = loop, pool, counters, address
         self.wait, self.clock_ahead, self.version = wait, clock_ahead, version
         self.addresses, self.told, self.log = addresses, told, log
         self.pushed = self.asked = pushed  # pushed: the module expects to be told without having asked
+        self.soon = soon  # the first answer is waited for, news or none
         self.rows: dict[str, Any] = {}  # the list as it was told, for a successor
         self.call: Call | None = None
         self.next: Address | None = None  # to be followed from now on
@@ -163,13 +172,10 @@
         while True:
             while not self.asked:
                 yield math.inf
-            self.asked, first = False, True
-            while True:
-                # The first call answers at once: a list that is late to change would look like no list.
-                wait = 0.001 if first or self.next else self.wait
-                if not (yield from self.ask_once(wait)):
-                    break
-                first = False
+            # A call is a watch from the first on: one that only asks for news would take a second turn at the
+            # service, and would be given up in a queue in which a watch waits its time.
+            while (yield from self.ask_once(0.001 if self.soon or self.next else self.wait)):
+                pass
             if self.pushed:
                 yield from self.loop.sleep(ASK_AGAIN)
                 self.asked = True
@@ -196,6 +202,7 @@
             if self.next is not None:
                 return True  # it failed because it is left, or just before: the new one is asked at once
             self.counters.add("list failures")
+            self.asked = False  # asked for while the call was out: when to ask again is said anew now
             self.log("list failed", why=str(error)[:200], version=self.version)
             self.version = -1 if isinstance(error, ValueError) else self.version
             self.told(ListKind.FAILED, [])
@@ -209,7 +216,7 @@
             rows = [f"{e.name} {e.readiness.value}" + self.age(e) for e in news.entries]
             self.log("list", version=news.version, whole=news.whole, rows=rows[:24])
         self.version = news.version
-        self.asked = False
+        self.asked = self.soon = False
         self.told(ListKind.FULL if news.whole else ListKind.CHANGES, news.entries)
         return True
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -458,6 +458,24 @@
     assert not proxy.counts["dials"]
 
 
+def test_the_first_call_is_a_watch_and_many_proxies_wait_longer_for_news(loopback):
+    proxy = loopback(balancers=40)
+    peer = proxy.until(lambda: proxy.list.asked())
+    assert peer.got.startswith(b"GET /v1/endpoints?index=7&wait=20000 ")
+
+
+def test_a_call_asked_for_again_while_it_is_out_is_not_followed_at_once_when_it_fails(loopback, monkeypatch):
+    monkeypatch.setattr("onyxhollow.policy.Random.uniform", lambda self, low, high: high)
+    proxy = loopback()
+    proxy.until(lambda: proxy.list.asked())
+    proxy.proxy.discovery.ask()
+    proxy.answer_list(b"", b"503 No")
+    proxy.until(lambda: proxy.counts["list failures"] == 1)
+    proxy.idle(0.2)
+    assert proxy.counts["list calls"] == 1  # the module's wait of 0.5 s holds
+    proxy.until(lambda: proxy.counts["list calls"] == 2)
+
+
 @pytest.mark.parametrize("said", [
     b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"", b"HTTP/1.1 200 OK\r\nConte", b"rubbish\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
@@ -484,7 +502,7 @@
 
 def test_a_list_that_says_nothing_is_given_up_in_time(loopback, monkeypatch):
     monkeypatch.setattr("onyxhollow.wire.discovery.ANSWER", 0.2)
-    proxy = loopback()
+    proxy = loopback(ask_within=0.6)
     proxy.until(lambda: proxy.list.asked())
     proxy.until(lambda: proxy.counts["list failures"] == 1)
     proxy.until(lambda: proxy.list.asked(2))
