Many proxies ask a troubled list in a span that it can work through

The wait of the watch does not help those in the queue. Also seen: at one change of the list all that watch are answered within 0.05 s and call again at once. At fault: policy.py, server_list(): waits of 0.25 to 2.5 s whatever the number of callers, and the first call within 1 s; wire/discovery.py, follow(): the next call at once though calls were turned away just before. Now waits and the spread of the first call grow with the number of balancers (as if the list could answer eight a second), up to 0.6 of the stated interval; after a call turned away the next watch of this proxy waits a random part of a span that halves with each answer.

--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -72,7 +72,7 @@
             self.loop, self.pool, self.counters, config.discovery,
             wait=watch_wait(settings.ask_within, settings.balancers), clock_ahead=clock_ahead,
             version=config.known.version, pushed=not settings.watched, addresses=self.addresses,
-            told=self.list_told, log=self.log.event, soon=follows,
+            told=self.list_told, log=self.log.event, seed=config.seed, soon=follows,
         )  # fmt: skip
         self.probes = Probes(
             self.loop, self.pool, self.counters, self.addresses, settings.load_field, config.probe_time,
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -29,13 +29,12 @@
 from onyxhollow.interface import Customer, DialEnd, Entry, Host, Listener, ListKind  # isort: skip
 from onyxhollow.interface import Readiness, Repeat, Scope, Settings  # isort: skip
 
-TICK = 0.05  # the one periodic timer, seconds
+TICK, LIST_CALLS = 0.05, 8.0  # seconds of the one timer; calls a second for a troubled list, of all together
 FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
 FADE, DISTRUSTED = 7.0, 2.0  # seconds in which distrust falls to a third; score that bars a server
 STRAIN_FOR, LOAD_KEPT = 1.5, 8.0  # seconds for which word of overload bars a server; a report is carried on
 FULL_LOAD, SHED_LOAD = 0.65, 0.95  # load over capacity: nothing new from here; from here moved off
-PROBE_POINTS = 0.002  # of the result that probes may cost in calm times
-BRIM_KEPT = 0.9  # of what reports told of load a connection, from report to report
+PROBE_POINTS, BRIM_KEPT = 0.002, 0.9  # of the result for probes in calm times; of reports told, each time
 NEAR, NEAR_LOAD = 10.0, 0.45  # fleet's load per crossing price, and own load, to which near homes go first
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
 CHANCE, GROWN = 3.0, 1.5  # own connections a server that are mostly chance; growth that outdates a report
@@ -246,8 +245,9 @@
         self.demand, self.largest = dict[Hashable, Rate](), dict[str, float]()  # by group; by kind of machine
         self.brims = dict[str, tuple[float, float]]()  # a kind's connections a core and load, summed, fading
         self.budget = ColdBudget(host.now)
-        self.ask_at, self.list_lost, self.list_failures = host.now + self.rng.random(), settings.watched, 0
+        self.ask_at, self.list_lost, self.list_failures = self.rng.random(), settings.watched, 0
         self.settle(settings)
+        self.ask_at = host.now + self.ask_at * min(self.callers, self.ask_within / 2)
         self.review()
         host.wake_at(host.now + TICK)
 
@@ -260,6 +260,7 @@
         self.live_sizes, self.ask_within = settings.live_sizes, settings.ask_within
         self.budget.settle(settings.cold_share, settings.cold_time, settings.fall_multiple,
                            settings.me / settings.balancers)  # fmt: skip
+        self.callers = max(1.0, settings.balancers / LIST_CALLS)  # seconds that the calls of all take
         self.probes = PROBE_POINTS / max(1e-4, settings.probe_price) if settings.probes else 0.0  # a session
         if self.probes and not self.probing:
             self.probing = True
@@ -328,8 +329,7 @@
         # Servers that stand out are distrusted; where all look bad alike (a slow store, say) none is.
         scores = sorted(s.score(now) for s in self.working)
         self.bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
-        room = sum(s.size * (NEAR * self.crossing_price - self.load_of(s)) for s in self.working)
-        self.calm = room > 0.0  # then a group may meet once a zone: work is to spare, and crossings cost
+        self.calm = sum(s.size * (NEAR * self.crossing_price - self.load_of(s)) for s in self.working) > 0.0
         self.open_share = sum(map(self.well, self.working)) / max(1, len(self.working))  # those with room
         # Own connections per size that fill a server, over the load reported of all; else a warm-up's new.
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
@@ -369,12 +369,12 @@
 
     def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
         if kind is ListKind.FAILED:
-            self.list_lost, self.list_failures = True, self.list_failures + 1
-            # All balancers lose the list at once: spread, growing waits keep them from drowning it.
-            longest = min(self.ask_within / 4, 0.25 * 2 ** min(9, self.list_failures))
+            self.list_lost, self.list_failures, part = True, self.list_failures + 1, self.callers / 4
+            # All lose it at once, and it works through calls given up too: long, growing, spread waits.
+            longest = min(self.ask_within * min(0.6, part), part * 2 ** min(9, self.list_failures))
             if self.list_failures == 1:
                 self.host.log(f"list lost: asking again within {longest:.2f} s")
-            self.ask_at = self.host.now + longest * self.rng.uniform(0.5, 1.0)
+            self.ask_at = self.host.now + longest * self.rng.uniform(0.25, 1.0)
             return
         if kind is not ListKind.CACHED:
             if self.list_failures:
@@ -597,8 +597,7 @@
         self.host.dial(sess.token, server.name, self.dial_time(sess, left))
 
     def asking(self, sess: Session, server: Server, now: float) -> bool:
-        """Where own connections are too few to tell how full servers are, the one picked is asked before a
-        dial; one that does not answer soon is passed over for a while."""
+        """Where own connections are few the one picked is asked before a dial; one silent is passed over."""
         if not self.sparse or not self.probes:
             return False
         told = now - server.held_at < LOAD_KEPT  # carried on by the list a report is good for longer
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable, Generator
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import h11
@@ -21,6 +22,7 @@
 ANSWER = 3.5  # seconds for an answer beyond the wait asked for: a busy list works through calls in turn
 ASK_AGAIN = 0.5  # seconds after a failure where the module leaves the asking to its host
 CALLS = 2.0  # calls a second that the watches of a fleet make together while there is no news
+ANSWERED_AGAIN, LONGEST_SPREAD = 0.2, 5.0  # seconds within which a watch goes on (protocol); at the most
 LONGEST_WAIT = 60.0  # seconds: the protocol's
 LARGEST = 4 * 1024 * 1024  # bytes of one list
 
@@ -135,11 +137,12 @@
     def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, address: Address, wait: float,
                  clock_ahead: float, version: int, pushed: bool, addresses: Addresses,
                  told: Callable[[ListKind, list[Entry]], None],
-                 log: Callable[..., None], soon: bool = False) -> None:  # fmt: skip
+                 log: Callable[..., None], seed: int, soon: bool = False) -> None:  # fmt: skip
         self.loop, self.pool, self.counters, self.address = loop, pool, counters, address
         self.wait, self.clock_ahead, self.version = wait, clock_ahead, version
         self.addresses, self.told, self.log = addresses, told, log
         self.pushed = self.asked = pushed  # pushed: the module expects to be told without having asked
+        self.spread, self.rng = 0.0, Random(seed)  # seconds over which the next calls are spread
         self.soon = soon  # the first answer is waited for, news or none
         self.rows: dict[str, Any] = {}  # the list as it was told, for a successor
         self.call: Call | None = None
@@ -175,7 +178,11 @@
             # A call is a watch from the first on: one that only asks for news would take a second turn at the
             # service, and would be given up in a queue in which a watch waits its time.
             while (yield from self.ask_once(0.001 if self.soon or self.next else self.wait)):
-                pass
+                # The service has turned calls away of late: all that were told the same news just now would
+                # come again within a millisecond, and most would be turned away once more.
+                if self.spread > ANSWERED_AGAIN and self.next is None:
+                    yield from self.loop.sleep(self.rng.random() * self.spread)
+                self.spread /= 2
             if self.pushed:
                 yield from self.loop.sleep(ASK_AGAIN)
                 self.asked = True
@@ -202,6 +209,7 @@
             if self.next is not None:
                 return True  # it failed because it is left, or just before: the new one is asked at once
             self.counters.add("list failures")
+            self.spread = min(self.wait / 4, LONGEST_SPREAD)
             self.asked = False  # asked for while the call was out: when to ask again is said anew now
             self.log("list failed", why=str(error)[:200], version=self.version)
             self.version = -1 if isinstance(error, ValueError) else self.version
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -255,6 +255,27 @@
     assert len(host.asked("watch")) == asked
 
 
+def test_many_balancers_ask_a_troubled_list_no_more_often_than_it_can_answer(start):
+    def calls(count):
+        """In the five seconds from a failure that all meet at once, each call failing after two seconds."""
+        made = 0
+        for seed in range(count):
+            host = start(seed, watched=True, balancers=count)
+            host.wait(6.0)
+            host.balancer.server_list(ListKind.FAILED, [])
+            host.did.clear()
+            for _ in range(100):
+                host.wait(0.05)
+                if host.asked("watch"):
+                    made += 1
+                    host.did.clear()
+                    host.wait(2.0)
+                    host.balancer.server_list(ListKind.FAILED, [])
+        return made
+
+    assert calls(40) <= 40 * 2 and calls(4) >= 4 * 2
+
+
 def test_a_sick_server_nobody_drains_gets_nothing_and_is_handed_off(host, lost):
     a, *_ = host.servers(*"abcde")
     for _ in range(50):
