Few own connections: what fills a server is a share of what customers may hold

At fault: policy.py, look(): own connections over the reported load, or the sessions of a warm-up, where few own ones are open. Now, with few own connections, an equal share of the connections that the settings let customers hold; without such settings as before. That sum is what the operators hold the fleet to be good for; all balancers together reckon with no more than it.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -261,6 +261,7 @@
         self.budget.settle(settings.cold_share, settings.cold_time, settings.fall_multiple,
                            settings.me / settings.balancers)  # fmt: skip
         self.callers = max(1.0, settings.balancers / LIST_CALLS)  # seconds that the calls of all take
+        self.quota = sum(c.connections for c in settings.customers.values()) / settings.balancers
         self.probes = PROBE_POINTS / max(1e-4, settings.probe_price) if settings.probes else 0.0  # a session
         if self.probes and not self.probing:
             self.probing = True
@@ -331,11 +332,11 @@
         self.bar = max(DISTRUSTED, 2.0 * scores[len(scores) // 2]) if scores else DISTRUSTED
         self.calm = sum(s.size * (NEAR * self.crossing_price - self.load_of(s)) for s in self.working) > 0.0
         self.open_share = sum(map(self.well, self.working)) / max(1, len(self.working))  # those with room
-        # Own connections per size that fill a server, over the load reported of all; else a warm-up's new.
+        # Own connections a size that fill a server; few are chance: then a share of what customers may hold.
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
         load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
-        self.fill = self.mean / max(0.25, load) or self.budget.rate(now) * self.budget.time / self.size
-        self.fill = max(self.fill, 1.0 / self.size)
+        fill = self.size * self.mean / max(0.25, load) or self.budget.rate(now) * self.budget.time
+        self.fill = max((self.sparse and self.quota) or fill, 1.0) / self.size
 
     def draw_working(self) -> None:
         """Servers drawn at random from the fleet, as many as reports and own connections tell something of;
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -488,6 +488,20 @@
     assert 0 < dials(100) < 25
 
 
+def test_after_a_restart_among_many_a_server_has_room_for_a_share_of_what_customers_may_hold(start):
+    told = {"customers": {"acme": Customer("acme", 1.0, 600.0)}}
+    placed = []
+    for seed in range(20):
+        host = start(seed, groups=True, **FEW, **told)
+        host.servers(*(f"s{n}" for n in range(12)), size=4.0)
+        host.loads(**{f"s{n}": 0.5 for n in range(12)})
+        host.balancer.look()
+        assert host.balancer.fill == pytest.approx(600 / 100 / 48)  # nothing open here: the fleet's as told
+        host.take(group="g", stands=False)
+        placed.append(len(host.asked("dial")))
+    assert sum(placed) > 12  # by own connections alone, none, it would be a few
+
+
 def test_a_working_set_is_part_of_a_large_fleet_and_is_refilled_without_moving_connections(host):
     servers = host.servers(*(f"s{n}" for n in range(80)))
     first = set(host.balancer.working)
