One piece of code says which servers are open to a session, for its homes and its pick

Cause: when homes came to count arriving servers, home() wrote again the check that pick() had as an inner function (well and eased). Also ask_at held a share of a span for a moment before it held a time. Change: open_to() is a method that both call; the share has a name of its own. No decision changes.

--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -22,7 +22,7 @@
 import math
 from bisect import bisect
 from collections import Counter
-from collections.abc import Callable, Hashable, Iterable
+from collections.abc import Callable, Hashable, Iterable, Iterator
 from hashlib import blake2b
 from random import Random
 
@@ -245,9 +245,9 @@
         self.demand, self.largest = dict[Hashable, Rate](), dict[str, float]()  # by group; by kind of machine
         self.brims = dict[str, tuple[float, float]]()  # a kind's connections a core and load, summed, fading
         self.budget = ColdBudget(host.now)
-        self.ask_at, self.list_lost, self.list_failures = self.rng.random(), settings.watched, 0
+        first_call, self.list_lost, self.list_failures = self.rng.random(), settings.watched, 0
         self.settle(settings)
-        self.ask_at = host.now + self.ask_at * min(self.callers, self.ask_within / 2)
+        self.ask_at = host.now + first_call * min(self.callers, self.ask_within / 2)
         self.review()
         host.wake_at(host.now + TICK)
 
@@ -523,17 +523,16 @@
             return known
         at, steps = bisect(self.ring, (draw(group), 0)), range(min(HOMES, len(self.ring)))
         # Arriving ones too, at their pace: the groups of servers replaced at once would fill those left over.
-        stretch = (self.fleet[self.ring[(at + step) % len(self.ring)][1]] for step in steps)
-        fit = (s for s in stretch if self.well(s, sess) and self.eased(s, sess))
+        fit = self.open_to((self.fleet[self.ring[(at + step) % len(self.ring)][1]] for step in steps), sess)
         first = next(fit, None)
         if first is None or not self.calm:
             return first
         return next((s for s in (first, *fit) if s.zone == self.zone and self.load_of(s) < NEAR_LOAD), first)
 
-    def pick(self, sess: Session) -> Server | None:
-        def open_to(servers: Iterable[Server]) -> list[Server]:
-            return [s for s in servers if self.well(s, sess) and self.eased(s, sess)]
+    def open_to(self, servers: Iterable[Server], sess: Session) -> Iterator[Server]:
+        return (s for s in servers if self.well(s, sess) and self.eased(s, sess))
 
+    def pick(self, sess: Session) -> Server | None:
         home = self.home(sess)
         if home is None and sess.group is not None and self.share_groups and self.sparse:
             # Strewn over the fleet, each group's work is paid for everywhere: a jam that feeds itself.
@@ -542,12 +541,13 @@
         pool = self.fleet if bound else self.working
         if len(pool) > LEAST and not bound:
             pool = self.rng.sample(pool, LEAST // 2)  # the work for one dial does not grow with the fleet
-        pool = open_to(pool)
+        pool = list(self.open_to(pool, sess))
         pool = [s for s in pool if s not in sess.tried] or pool
         arriving = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
         rest = [s for s in pool if s not in arriving]
-        sess.drawn = open_to(sess.drawn) or self.rng.sample(rest, min(2, len(rest)))
-        candidates = (open_to([home]) if home and home not in sess.tried else []) + arriving + sess.drawn
+        sess.drawn = list(self.open_to(sess.drawn, sess)) or self.rng.sample(rest, min(2, len(rest)))
+        homes = self.open_to([home], sess) if home and home not in sess.tried else ()
+        candidates = (*homes, *arriving, *sess.drawn)
         return min(candidates, key=lambda s: self.weight(s, sess.group, home), default=None)
 
     def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
