A reload that names another list is followed at once also while the next watch is put off

After a call turned away the next watch waits up to 5 s; that wait was a plain sleep, so a reload in it was heard only at its end (wire/discovery.py, follow()), where docs/proxy.md says that the new address is asked at once. Change: the wait ends when another address is named. The two stories of calls turned away are one, with the reload in it.

--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -179,9 +179,12 @@
             # service, and would be given up in a queue in which a watch waits its time.
             while (yield from self.ask_once(0.001 if self.soon or self.next else self.wait)):
                 # The service has turned calls away of late: all that were told the same news just now would
-                # come again within a millisecond, and most would be turned away once more.
-                if self.spread > ANSWERED_AGAIN and self.next is None:
-                    yield from self.loop.sleep(self.rng.random() * self.spread)
+                # come again within a millisecond, and most would be turned away once more. Another address
+                # is asked at once.
+                if self.spread > ANSWERED_AGAIN:
+                    until = self.loop.now + self.rng.random() * self.spread
+                    while self.loop.now < until and self.next is None:
+                        yield until
                 self.spread /= 2
             if self.pushed:
                 yield from self.loop.sleep(ASK_AGAIN)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -465,27 +465,28 @@
     assert peer.got.startswith(b"GET /v1/endpoints?index=7&wait=10000 ")
 
 
-def test_after_a_call_turned_away_the_next_ones_are_spread(loopback, monkeypatch):
-    monkeypatch.setattr("onyxhollow.wire.discovery.Random.random", lambda self: 0.5)
-    proxy = loopback()
-    proxy.answer_list(b"", b"503 No")
-    proxy.answer_list(LIST, count=2)
-    proxy.until(lambda: proxy.counts["list calls"] == 2)
-    proxy.idle(0.3)  # half of the 1.25 s over which four proxies spread their next calls
-    assert proxy.counts["list calls"] == 2
-    proxy.until(lambda: proxy.counts["list calls"] == 3)
-
-
-def test_a_call_asked_for_again_while_it_is_out_is_not_followed_at_once_when_it_fails(loopback, monkeypatch):
+def test_after_a_call_turned_away_the_module_says_when_to_ask_and_the_next_watches_are_spread(
+        loopback, monkeypatch):  # fmt: skip
     monkeypatch.setattr("onyxhollow.policy.Random.uniform", lambda self, low, high: high)
-    proxy = loopback()
+    monkeypatch.setattr("onyxhollow.wire.discovery.Random.random", lambda self: 0.5)
+    proxy, new = loopback(), Toy()
     proxy.until(lambda: proxy.list.asked())
-    proxy.proxy.discovery.ask()
+    proxy.proxy.discovery.ask()  # while the call is out: not followed at once when it fails
     proxy.answer_list(b"", b"503 No")
     proxy.until(lambda: proxy.counts["list failures"] == 1)
     proxy.idle(0.2)
     assert proxy.counts["list calls"] == 1  # the module's wait of 0.5 s holds
-    proxy.until(lambda: proxy.counts["list calls"] == 2)
+    proxy.answer_list(LIST, count=2)
+    proxy.until(lambda: proxy.proxy.discovery.version == 8)
+    proxy.idle(0.3)  # half of the 1.25 s over which four proxies spread their next calls
+    assert proxy.counts["list calls"] == 2
+    proxy.until(lambda: proxy.counts["list calls"] == 3)
+    proxy.answer_list(LIST.replace(b"8", b"9"), count=2)
+    proxy.until(lambda: proxy.proxy.discovery.version == 9)
+    proxy.reload_to(new)  # in the 0.3 s that the next is put off for
+    began = time.monotonic()
+    proxy.until(lambda: new.asked())
+    assert time.monotonic() - began < 0.2
 
 
 def test_a_server_named_again_under_another_address_is_dialled_there(loopback):
