Stories that were told twice are one: silent lists, lists that fail, unread connections at a stop

Change: a successor that hears no list is one story with the one that goes on from the old one's; a connection unread at the stop stands beside the one with a dial out; a list that fails from the first second on beside the one of many callers. Every assertion is kept, the successor's yes within a second now also in the longer story.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -407,13 +407,6 @@
     overlap.until(lambda: client.read() == b"still here\r\n" and not client.end)
 
 
-def test_a_successor_that_hears_no_list_takes_clients_all_the_same(overlap, monkeypatch):
-    monkeypatch.setattr(proxies, "LIST_HEARD", 0.2)
-    overlap.start()
-    new = overlap.start()
-    overlap.until(lambda: new.proxy.service.ready, within=1.0)
-
-
 def test_a_third_process_or_a_folder_that_cant_be_used_hands_nothing_over(overlap, tmp_path, monkeypatch):
     monkeypatch.setattr(handovers, "BEGIN_WITHIN", 0.05)
     old, new = overlap.start(), overlap.start()
@@ -452,11 +445,16 @@
     server.say(b"LOAD 5\r\nm")
     old.until(lambda: client.read() == b"LOAD 5\r\n")
     waiting, later = old.open(), old.until(lambda: old.toys["a"].asked(41))  # has a dial out at the stop
+    unread = Peer(socket.create_connection(overlap.socket.getsockname()))
+    overlap.until(lambda: old.counts["connections accepted"] == 42)
     new = replaced(overlap)
     old.proxy.loop.spawn(old.proxy.stop())
     overlap.until(lambda: new.counts["connections taken over"] == 40)
     later.say(b"UP r2\r\n")
     overlap.until(lambda: waiting.read() == b"UP r2\r\n" and new.counts["connections taken over"] == 41)
+    unread.say(b"OPEN 9b1f77 7f3a c=calls,d=2000\r\n")
+    overlap.until(lambda: old.toys["a"].asked(42)).say(b"UP r3\r\n")
+    overlap.until(lambda: unread.read() == b"UP r3\r\n" and new.counts["connections taken over"] == 42)
     overlap.until(lambda: not old.proxy.loop.running)
     overlap.die(old)
     client.say(b"\r\n")
@@ -470,10 +468,10 @@
         overlap.until(lambda c=client: c.read() == b"m 3\r\n")
     balancer = new.proxy.facade.balancer
     (held,) = (len(s.connections) for s in balancer.servers.values())
-    assert held == 41 and all(sess.placed for s in balancer.servers.values() for sess in s.connections)
+    assert held == 42 and all(sess.placed for s in balancer.servers.values() for sess in s.connections)
     assert new.counts["dials"] == 0  # nothing was dialled anew
     told = read_figures(new.ask("counters")[1])
-    assert (told["lb_inflight", None], told["lb_success_total", "calls"]) == (41, 0)
+    assert (told["lb_inflight", None], told["lb_success_total", "calls"]) == (42, 0)
     new.proxy.loop.spawn(new.proxy.stop())  # and from it, moved, as there is no successor
     overlap.until(lambda: all(c.read().endswith(b"MOVE\r\n") and c.end for c, _ in pairs), within=3.5)
 
@@ -566,7 +564,7 @@
     assert new.balancer.budget.rate(new.now) == pytest.approx(old.balancer.budget.rate(old.now))
 
 
-def test_a_successor_goes_on_from_the_old_ones_list_where_discovery_is_silent(overlap, monkeypatch):
+def test_a_successor_that_hears_no_list_goes_on_from_the_old_ones_and_takes_clients(overlap, monkeypatch):
     monkeypatch.setattr(proxies, "LIST_HEARD", 0.4)
     old = overlap.start()
     rows = [old.row("a"), old.row("a", "leaving") | {"host": "b"}]
@@ -575,24 +573,11 @@
     overlap.until(lambda: len(old.proxy.facade.balancer.servers) == 2)
     new = overlap.start(known=False)
     old.proxy.discovery.address = new.config.discovery  # one service for both
-    overlap.until(lambda: new.proxy.service.ready)
+    overlap.until(lambda: new.proxy.service.ready, within=1.0)
     told = {server.name: server.readiness.value for server in new.proxy.facade.balancer.servers.values()}
     assert told == {"a": "in service", "b": "draining"} and new.proxy.discovery.version == 41
 
 
-def test_a_connection_accepted_and_unread_at_the_stop_is_served_by_the_old_one(overlap):
-    old = overlap.start()
-    early = Peer(socket.create_connection(overlap.socket.getsockname()))
-    overlap.until(lambda: old.counts["connections accepted"])
-    new = replaced(overlap)
-    old.proxy.loop.spawn(old.proxy.stop())
-    overlap.until(lambda: old.proxy.service.stopping)
-    early.say(b"OPEN 9b1f77 7f3a c=calls,d=2000\r\n")
-    server = overlap.until(lambda: old.toys["a"].asked())
-    server.say(b"UP r\r\n")
-    overlap.until(lambda: early.read() == b"UP r\r\n" and new.counts["connections taken over"] == 1)
-
-
 def test_answers_of_servers_and_list_are_read_whatever_their_pieces(loopback):
     for cut in range(1, 7):
         proxy = loopback()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -256,7 +256,7 @@
     assert len(host.asked("watch")) == asked
 
 
-def test_many_balancers_ask_a_troubled_list_no_more_often_than_it_can_answer(start):
+def test_many_balancers_ask_a_list_that_fails_no_more_often_than_it_can_answer_and_go_on_asking(start):
     def calls(count):
         """In the five seconds from a failure that all meet at once, each call failing after two seconds."""
         made = 0
@@ -275,6 +275,15 @@
         return made
 
     assert calls(40) <= 40 * 2 and calls(4) >= 4 * 2
+    host = start(watched=True, balancers=40)  # from the first second on, and never answered
+    for _ in range(20):
+        host.wait(6.5)
+        assert host.asked("watch")  # the first within 5 s, the others within 6 s of a failure
+        host.did.clear()
+        host.balancer.server_list(ListKind.FAILED, [])
+    sess = host.take(stands=False)
+    host.wait(2.0)
+    assert sess.answered and len(host.asked("refuse")) == 1
 
 
 def test_a_sick_server_nobody_drains_gets_nothing_and_is_handed_off(host, lost):
@@ -733,15 +742,3 @@
     host.loads(a=0.1)
     host.wait(2.0)
     assert balancer.well(balancer.servers["a"])
-
-
-def test_a_list_that_fails_from_the_first_second_on_is_asked_again_within_its_interval(start):
-    host = start(watched=True, balancers=40)
-    for _ in range(20):
-        host.wait(6.5)
-        assert host.asked("watch")  # the first within 5 s, the others within 6 s of a failure
-        host.did.clear()
-        host.balancer.server_list(ListKind.FAILED, [])
-    sess = host.take(stands=False)
-    host.wait(2.0)
-    assert sess.answered and len(host.asked("refuse")) == 1
