--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -358,6 +358,15 @@
     return Overlap(served, tmp_path)
 
 
+def replaced(overlap):
+    """One more process, once it takes clients in place of the one before."""
+    new = overlap.start()
+    overlap.until(lambda: new.list.asked())
+    new.answer_list(LIST)
+    overlap.until(lambda: overlap.running[-2].proxy.service.replaced)
+    return new
+
+
 def test_a_successor_takes_clients_once_it_has_the_list_and_the_old_one_serves_its_own(overlap):
     old = overlap.start()
     front, (client, _) = overlap.taken_by(old), old.standing()
@@ -382,22 +391,14 @@
     overlap.until(lambda: accepted.read() == b"PONG\r\n" * 2)
     overlap.die(old)
     overlap.until(lambda: new.proxy.handover.serving is not None)
-    third = overlap.start()  # a successor's successor
-    overlap.until(lambda: third.list.asked())
-    third.answer_list(LIST)
-    overlap.until(lambda: new.proxy.service.replaced)
-    overlap.taken_by(third)
+    overlap.taken_by(replaced(overlap))  # a successor's successor
 
 
 @pytest.mark.parametrize("after_its_yes", [False, True])
 def test_a_successor_that_dies_leaves_all_as_it_was(overlap, after_its_yes):
     old = overlap.start()
     client, server = old.standing()
-    new = overlap.start()
-    if after_its_yes:
-        overlap.until(lambda: new.list.asked())
-        new.answer_list(LIST)
-        overlap.until(lambda: old.proxy.service.replaced)
+    new = replaced(overlap) if after_its_yes else overlap.start()
     waiting = Peer(socket.create_connection(overlap.socket.getsockname()))  # read by nobody yet
     overlap.die(new)
     waiting.say(b"PING\r\n")
@@ -427,15 +428,6 @@
     file.close()
 
 
-def replaced(overlap):
-    """The second process, once it takes clients."""
-    new = overlap.start()
-    overlap.until(lambda: new.list.asked())
-    new.answer_list(LIST)
-    overlap.until(lambda: overlap.running[0].proxy.service.replaced)
-    return new
-
-
 def test_open_connections_go_on_in_the_successor_with_all_that_was_under_way(overlap):
     old = overlap.start()
     pairs = [old.standing() for _ in range(40)]
