Few own connections: near servers drawn first; loop on the ground; hooks for further parts

Where own connections are few their counts are chance and a crossing is sure: two near servers and one of all are drawn, none is remembered, one elsewhere counts 1.3 times. Probed takes a report's age and the connections of all, for fleets that tell one another.

The loop and the state of service move to the ground of the house (two arrows ran back up, to lifecycle/, for these alone); the proxy takes further parts by attach(), and the list can be told by another member.

--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -9,12 +9,29 @@
 import math
 from collections.abc import Callable, Generator, Hashable, Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from onyxhollow.interface import Customer, DialEnd, Entry, Listener, ListKind, Readiness, Settings
 from onyxhollow.memory.counters import Counters
-from onyxhollow.policy import Balancer, Session
-from onyxhollow.recall import describe, take_back
+from onyxhollow.policy import FULL_LOAD, SHED_LOAD, Balancer, Session
+from onyxhollow.recall import avoided, describe, take_back
+
+WELL = (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT, DialEnd.FULL)  # they say nothing bad of a server
+
+
+class Shared(Protocol):
+    """As onyxhollow.sharing tells it."""
+
+    @property
+    def server(self) -> str: ...
+    @property
+    def load(self) -> float | None: ...  # over capacity; None: only the rest is new
+    @property
+    def age(self) -> float: ...  # seconds since that load was reported
+    @property
+    def held(self) -> int: ...  # open connections of all members
+    @property
+    def doubt(self) -> float: ...  # distrust that the members' failures there are worth
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +78,8 @@
         self.dialling = self.call_back = False
         self.answered = self.answered or final
         if self.sess:
+            if end not in WELL and not final and self.sess.server:
+                self.facade.dial_failed(self.sess.server.name)
             self.sess.dial_ended(end, final, took, load)
 
     def report_accepted(self, took: float) -> None:
@@ -102,6 +121,18 @@
         return chosen or Pick()
 
 
+def report_shared(balancer: Balancer, news: Shared) -> None:
+    """What the fleet's members know together of a server. Evidence of failure turns traffic away from it, and
+    bars it only with what this balancer has seen itself."""
+    load = news.load
+    if load is not None and load >= SHED_LOAD and balancer.rng.random() * load >= load - FULL_LOAD:
+        load = SHED_LOAD - 0.01  # all are told at once: as many as are too much move theirs, the others wait
+    balancer.probed(news.server, DialEnd.OK, 0.0, load, news.age, news.held)
+    server = balancer.servers.get(news.server)
+    if server and (more := news.doubt - server.score(balancer.host.now)) > 0.0:
+        balancer.blame(server, more)
+
+
 class Facade:
     """Carries the module. Its clock is the loop's, its one timer the caller's of tick."""
 
@@ -111,6 +142,7 @@
         self.clock, self.counters, self.log = clock, counters, log
         self.probe, self.watch = probe, watch
         self.due = math.inf
+        self.dial_failed: Callable[[str], None] = lambda server: None  # heard by who shares such evidence
         self.balancer = Balancer(self, settings, seed)
 
     @property
@@ -155,11 +187,26 @@
     def report_probe(self, server: str, end: DialEnd, took: float, load: float | None) -> None:
         self.balancer.probed(server, end, took, load)
 
+    def report_shared(self, news: Shared) -> None:
+        report_shared(self.balancer, news)
+
+    def own(self) -> dict[str, int]:
+        """Open connections and dials out, by server."""
+        return {s.name: len(s.connections) for s in self.balancer.servers.values() if s.connections}
+
+    def room(self, zone: str) -> tuple[int, int]:
+        """Servers in service, and those that take something new; of a zone if it has any. What this balancer
+        passes over for a moment by chance, as it does with few connections, has room all the same."""
+        balancer, now = self.balancer, self.clock()
+        servers = [s for s in balancer.fleet if s.zone == zone] or balancer.fleet
+        room = [s for s in servers if balancer.load_of(s) < FULL_LOAD and s.score(now) <= balancer.bar]
+        return len(servers), len(room)
+
     def resettle(self, settings: Settings) -> None:
         self.balancer.resettle(settings)
 
     def avoided(self) -> tuple[int, int]:
-        return self.balancer.avoided()
+        return avoided(self.balancer)
 
     def tick(self) -> None:
         self.balancer.tick()
--- a/onyxhollow/lab/sockets/discovery.py
+++ b/onyxhollow/lab/sockets/discovery.py
@@ -77,6 +77,8 @@
         )
         for row in rows:
             engine.world.referee.heard(engine.now, self.desk.proxy, row.name, row.readiness, row.started)
+            if engine.in_fleet and HEALTH[row.readiness] == "active":
+                engine.world.referee.back(row.name)
         engine.world.agenda.after(STILL_WATCHING, self.desk.lapse, engine.now)
         self.desk.told_at = engine.now
 
--- a/onyxhollow/lab/sockets/lines.py
+++ b/onyxhollow/lab/sockets/lines.py
@@ -7,7 +7,7 @@
 import struct
 from collections.abc import Callable
 
-from onyxhollow.lifecycle.loop import READ, WRITE, Loop
+from onyxhollow.loop import READ, WRITE, Loop
 
 LONGEST = (
     64 * 1024
--- a/onyxhollow/lab/sockets/proxies.py
+++ b/onyxhollow/lab/sockets/proxies.py
@@ -77,9 +77,10 @@
     }
 
 
-def free_address(host: str) -> tuple[str, int]:
-    with socket.create_server((host, 0)) as sock:
-        return host, sock.getsockname()[1]
+def free_address(host: str, kind: int = socket.SOCK_STREAM) -> tuple[str, int]:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind((host, 0))
+        return host, int(sock.getsockname()[1])
 
 
 class Process:
@@ -91,6 +92,7 @@
         self.number, self.settings, self.list_at, self.folder = number, settings, list_at, folder
         self.listen = free_address(f"127.0.1.{number % 250 + 1}")
         self.sockets, self.lives = sockets, 0
+        self.fleet = ""  # the fleet file of this proxy; "": it is on its own
         self.child: subprocess.Popen[bytes] | None = None
         self.crashes: list[int] = []  # exit codes of lives that nobody ended
         self.ending = False
@@ -111,6 +113,8 @@
             )
         )
         environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
+        if self.fleet:
+            environment["LB_FLEET"] = self.fleet
         self.lives, self.ending = self.lives + 1, False
         log = (self.folder / f"n{self.number}.log").open("ab")
         with log:
@@ -133,8 +137,8 @@
         except OSError:
             return False
 
-    def wait_ready(self) -> bool:
-        until = time.monotonic() + READY_WITHIN
+    def wait_ready(self, within: float = READY_WITHIN) -> bool:
+        until = time.monotonic() + within
         while time.monotonic() < until:
             if self.child is None or self.child.poll() is not None:
                 return False
--- a/onyxhollow/lab/sockets/servers.py
+++ b/onyxhollow/lab/sockets/servers.py
@@ -66,10 +66,10 @@
             self.over = True  # its client left while the dial was on its way
             self.lines.close()
             return
-        world.referee.sent(engine.now, self.door.proxy, sess.number, server.name)
+        world.referee.sent(engine.now, sess.proxy, sess.number, server.name)
         world.ledger.count("dials")
         verdict, wait = world.offer(sess, server)
-        far = 4.0 * world.one_way(world.proxies[self.door.proxy].zone, server.zone)
+        far = 4.0 * world.one_way(world.proxies[sess.proxy].zone, server.zone)
         self.ran = verdict in (Verdict.UP, Verdict.ERROR, Verdict.SILENT)
         if verdict is not Verdict.SILENT:
             world.agenda.after(wait + far, self.answer, verdict)
@@ -114,7 +114,7 @@
 
 
 class Door:
-    """Where one proxy finds one server."""
+    """Where one proxy finds one server, or in a large fleet those of one zone do: `proxy` is their first."""
 
     def __init__(self, engine: Sockets, server: Server, proxy: int) -> None:
         self.engine, self.server, self.proxy = engine, server, proxy
--- a/onyxhollow/lifecycle/config.py
+++ b/onyxhollow/lifecycle/config.py
@@ -15,7 +15,7 @@
 from onyxhollow.wire.discovery import ListError, ServerList, read_address, read_list
 
 
-class ConfigError(Exception):
+class ConfigError(ValueError):
     """A configuration that can't be used; the text says what is wrong."""
 
 
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -13,19 +13,20 @@
 import time
 import traceback
 from collections.abc import Callable, Generator
+from typing import Protocol
 
 from onyxhollow.facade import Facade
 from onyxhollow.interface import DialEnd, Entry, ListKind
 from onyxhollow.lifecycle.config import Config, ConfigError, needs_restart, read_config
 from onyxhollow.lifecycle.handover import STARTING, STOPPING, TAKING, Handover, StateError, given_socket
 from onyxhollow.lifecycle.log import Log
-from onyxhollow.lifecycle.loop import READ, Loop, Task
-from onyxhollow.lifecycle.service import Service, ServiceState
+from onyxhollow.loop import READ, Loop, Task
 from onyxhollow.memory.buffers import BufferPool
 from onyxhollow.memory.counters import ACCEPTED, REFUSED, TORN_DOWN, Counters
 from onyxhollow.memory.tables import Addresses
 from onyxhollow.operations import figures
 from onyxhollow.operations.management import PLAIN, Answer, Management
+from onyxhollow.service import Service, ServiceState
 from onyxhollow.wire.channel import OUR_OWN, ListenError, listen_socket
 from onyxhollow.wire.discovery import Discovery, ServerList, read_list, watch_wait
 from onyxhollow.wire.passing import Passing, Receiver
@@ -52,6 +53,15 @@
 AWAY_HELD = 0.2  # seconds past it for which one that reads nothing is held
 
 
+class Part(Protocol):
+    """Something beside the sessions that this process carries: told what it may need to know."""
+
+    def list_told(self, kind: ListKind, entries: list[Entry]) -> None: ...
+
+    def close(self) -> None:
+        """The process ends now."""
+
+
 class Proxy:
     def __init__(self, config: Config, clock_ahead: float, out: int, read_again: Callable[[], Config],
                  given: socket.socket | None = None, handover: Handover | None = None) -> None:  # fmt: skip
@@ -89,6 +99,13 @@
             settings.customers, settings.load_field, config.connect_time, self.service,
             self.log.event,
         )  # fmt: skip
+        self.parts: list[Part] = []
+        self.routes: dict[str, dict[str, Callable[[str], Answer]]] = {
+            "/control/ready": {"GET": self.tell_ready},
+            "/control/counters": {"GET": self.tell_figures},
+            "/control/out-of-service": {"POST": self.out_of_service},
+            "/control/in-service": {"POST": self.in_service},
+        }
         self.management = self.open_management(config)
         self.take_limits(config)
         self.loop.spawn(self.ticks())
@@ -115,20 +132,14 @@
     def open_management(self, config: Config) -> Management | None:
         if config.management is None:
             return None
-        routes: dict[str, dict[str, Callable[[], Answer]]] = {
-            "/control/ready": {"GET": self.tell_ready},
-            "/control/counters": {"GET": self.tell_figures},
-            "/control/out-of-service": {"POST": self.out_of_service},
-            "/control/in-service": {"POST": self.in_service},
-        }
-        return Management(self.loop, config.management, self.counters, routes)
+        return Management(self.loop, config.management, self.counters, self.routes)
 
-    def tell_ready(self) -> Answer:
+    def tell_ready(self, _: str) -> Answer:
         if not self.service.ready:
             return 503, f"{self.service.state.value}\n".encode(), PLAIN
         return 200, b"ready\n", PLAIN
 
-    def tell_figures(self) -> Answer:
+    def tell_figures(self, _: str) -> Answer:
         counts = self.counters.counts
         listed, down = self.facade.avoided()
         refused = counts["reloads refused"]
@@ -141,7 +152,7 @@
                    ("failure_total", ends[TORN_DOWN]))  # fmt: skip
         return 200, figures.render(by_tier, values), figures.TEXT
 
-    def out_of_service(self) -> Answer:
+    def out_of_service(self, _: str) -> Answer:
         if self.service.ready:
             self.drains += 1
             self.service.state = Service.LEAVING
@@ -149,7 +160,7 @@
             self.loop.spawn(self.drain(self.drains))
         return 200, b"out of service\n", PLAIN
 
-    def in_service(self) -> Answer:
+    def in_service(self, _: str) -> Answer:
         if self.service.stopping:
             return 503, b"stopping\n", PLAIN
         if self.service.is_any(Service.LEAVING, Service.AWAY):
@@ -189,6 +200,8 @@
                 self.follower.wake()
         try:
             self.facade.report_list(kind, entries)
+            for part in self.parts:
+                part.list_told(kind, entries)
         except Exception as error:  # the list must go on being followed
             self.failed("list", error)
 
@@ -446,6 +459,8 @@
         until = self.loop.now + LAST_LINES
         while self.loop.now < until and (self.sessions.table.live or self.pool.leaving):
             yield from self.loop.sleep(STOP_STEP)
+        for part in self.parts:
+            part.close()
         self.log.event("stopped", live=len(self.sessions.table), took=round(self.loop.now - began, 2))
         self.loop.running = False
 
@@ -474,7 +489,9 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-def serve(config: Config, path: str, clock_ahead: float) -> int:
+def serve(config: Config, path: str, clock_ahead: float,
+          attach: Callable[[Proxy], None] = lambda proxy: None) -> int:  # fmt: skip
+    """attach: puts further parts on the proxy, before its loop runs."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before the loop runs must not end it
     raise_descriptor_limit()
     os.set_blocking(sys.stdout.fileno(), False)
@@ -486,6 +503,7 @@
                 handover = Handover(os.environ.get("TMPDIR", ""))
         proxy = Proxy(config, clock_ahead, sys.stdout.fileno(),
                       lambda: read_config(path, clock_ahead, again=True), given, handover)  # fmt: skip
+        attach(proxy)
     except ListenError as error:
         sys.stderr.write(f"onyxhollow: {path}: {error}\n")
         return 2
--- a/onyxhollow/operations/management.py
+++ b/onyxhollow/operations/management.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from onyxhollow.lifecycle.loop import READ, Hurry, Loop
+from onyxhollow.loop import READ, Hurry, Loop
 from onyxhollow.memory.buffers import BufferPool
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Address
@@ -19,7 +19,7 @@
 ACCEPTS = 16  # callers taken in one go
 PLAIN = "text/plain; charset=utf-8"
 Answer = tuple[int, bytes, str]  # status, body, its type
-Routes = Mapping[str, Mapping[str, Callable[[], Answer]]]  # by path and method
+Routes = Mapping[str, Mapping[str, Callable[[str], Answer]]]  # by path and method; told what follows the `?`
 
 
 class Management:
@@ -71,7 +71,7 @@
 
     def find(self, method: str, target: str) -> tuple[Answer, str]:
         """The answer, and the methods that the path takes if this was none of them."""
-        path = target.partition("#")[0].partition("?")[0]
+        path, _, query = target.partition("#")[0].partition("?")
         if path.lower().startswith(("http://", "https://")):
             path = "/" + path.split("/", 3)[3] if path.count("/") >= 3 else "/"
         if (methods := self.routes.get(path)) is None:
@@ -80,7 +80,7 @@
         if call is None:
             return (405, b"not this method\n", PLAIN), "GET, HEAD" if "GET" in methods else ", ".join(methods)
         try:
-            return call(), ""
+            return call(query), ""
         except Exception as error:  # an operator is owed an answer all the same
             self.loop.failed("management", error)
             return (500, b"failed\n", PLAIN), ""
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -1,18 +1,17 @@
 """All decisions of onyxhollow.
 
-A host (onyxhollow/interface.py: Host, and all types that cross the door) makes one Balancer an instance and
-hands it the server list (server_list), new sessions (take), connections already open (adopt), probe results
-(probed) and its one timer (tick). take returns a Session; all that happens to it later is a call on it.
+A host (onyxhollow/interface.py: Host) makes one Balancer an instance and hands it the server list, sessions
+(take, adopt), reports (probed) and its one timer (tick). What happens to a session later is a call on it.
 
 The design (docs/design.md): the lesser, by own connections per size, of two random servers and the remembered
 best; hand-off in four stages when a server drains; cold arrivals at the same pace; all of it on some servers
-drawn at random, on a small fleet on all. Beside it stand:
+drawn at random, on a small fleet on all, and near ones where own connections are few. Beside it stand:
 1. distrust: a score for each server that fades; traffic follows it, a high one starts a hand-off.
 2. dial plan: how long a dial may take, and what follows when it fails.
 3. cold budget: this balancer's own share of what all together may send to a cold server.
 4. list watch: asking for the server list again after a failure, before silence counts as told.
 5. probing: a few probes a second for the load servers report; one before a dial where little is known. What a
-   live weight in the list tells of connections carries reports on, and stands for those of all in the pick.
+   live weight in the list, or the fleet, tells of connections carries them on, and stands for all picks.
 6. overload refusal: no server is filled past its load; what none may take waits, and is then refused.
 """
 
@@ -36,6 +35,7 @@
 FULL_LOAD, SHED_LOAD = 0.65, 0.95  # load over capacity: nothing new from here; from here moved off
 PROBE_POINTS, BRIM_KEPT = 0.002, 0.9  # of the result for probes in calm times; of reports told, each time
 NEAR, NEAR_LOAD = 10.0, 0.45  # fleet's load per crossing price, and own load, to which near homes go first
+FAR, CAUTION = 1.3, 0.9  # what one elsewhere counts for where own ones are few; part of the cold budget used
 GROUP_COST = 0.35  # what a group new to a server counts for, of the connections that fill it
 CHANCE, GROWN = 3.0, 1.5  # own connections a server that are mostly chance; growth that outdates a report
 REPORT_AGE, ASK_FOR = 1.0, 0.1  # seconds: a report good enough to place by; time to answer when asked
@@ -216,7 +216,7 @@
         self.tokens: dict[Server, tuple[float, float]] = {}
 
     def settle(self, share: float, time: float, multiple: float, phase: float) -> None:
-        self.share, self.time, self.multiple, self.phase = share, time, multiple, phase
+        self.share, self.time, self.multiple, self.phase = share, time, CAUTION * multiple, phase
 
     def cold(self, server: Server, now: float) -> bool:
         return server.started is not None and now - server.started < self.time
@@ -280,9 +280,8 @@
             self.demand.clear()
         self.list_lost = settings.watched or self.list_failures > 0
         self.settle(settings)
-        weights, groups = "live" if self.live_sizes else "sizes", "on" if self.share_groups else "off"
-        self.host.log(f"settings: weights {weights}, groups {groups}, probes {self.probes:g} a session, "
-                      f"balancers {self.balancers}, own connections {self.held.total()}")  # fmt: skip
+        self.host.log(f"settings: live weights {self.live_sizes}, groups {self.share_groups}, probes "
+                      f"{self.probes:g}, balancers {self.balancers}, own connections {self.held.total()}")
         self.draw_working()
 
     def later(self, wait: float, call: Callable[[], None]) -> None:
@@ -348,6 +347,7 @@
         self.mean, self.sparse = own / self.size, many and own <= CHANCE * len(self.fleet)
         known = LOAD_KEPT * self.probes * self.budget.rate(self.host.now)
         breadth = min(MOST, max(LEAST, math.ceil(known), own // 4))
+        self.near = [s for s in warm if s.zone == self.zone] if self.sparse else []  # the rest at its pace
         if breadth >= len(self.fleet):
             self.working = list(self.fleet)
         else:
@@ -363,11 +363,6 @@
                 and self.load_of(server) < FULL_LOAD and server.score(now) <= self.bar
                 and not (sess and (server.leaving or not sess.may_go_to(server, now))))  # fmt: skip
 
-    def avoided(self) -> tuple[int, int]:
-        """Servers in the list, and those passed over for what is wrong with them; a full one is not down."""
-        listed, now = [s for s in self.servers.values() if s.readiness is not Readiness.GONE], self.host.now
-        return len(listed), sum(s.readiness is Readiness.DRAINING or s.score(now) > self.bar for s in listed)
-
     def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
         if kind is ListKind.FAILED:
             self.list_lost, self.list_failures, part = True, self.list_failures + 1, self.callers / 4
@@ -446,15 +441,13 @@
     def load_of(self, server: Server) -> float:
         """The load last reported, 0 if none is known; carried on by own connections unless these are few."""
         now = self.host.now
+        known = now - server.load_at < LOAD_KEPT
         if now - server.held_at < LOAD_KEPT and (brim := self.brims.get(server.kind)):
             # Connections of all balancers, told of all servers: they carry a report on, or stand for it.
-            if now - server.load_at >= LOAD_KEPT:
-                return server.held * brim[1] / brim[0]
-            return max(0.0, server.load + (server.held - server.load_held) * brim[1] / brim[0])
-        if now - server.load_at >= LOAD_KEPT:
-            return 0.0
+            load, held = (server.load, server.load_held) if known else (0.0, 0.0)
+            return max(0.0, load + (server.held - held) * brim[1] / brim[0])
         more = 0 if self.sparse else len(server.connections) - server.load_count
-        return server.load + more / (self.fill * server.size)
+        return server.load + more / (self.fill * server.size) if known else 0.0
 
     def latency(self, servers: list[Server]) -> float | None:
         figures = [figure for s in servers if (figure := s.latency(self.host.now)) is not None]
@@ -506,21 +499,23 @@
 
     def weight(self, server: Server, group: Hashable, home: Server | None) -> float:
         """Own connections per size, a group new there counted in, raised by distrust."""
-        due = server.arrival and server.arrival.moved < server.arrival.count
+        fill, due = self.fill, server.arrival and server.arrival.moved < server.arrival.count
         own = len(server.connections) if server.heard or due else self.mean * server.size
-        if self.host.now - server.held_at < LOAD_KEPT and server.kind in self.brims:
-            own = self.load_of(server) * self.fill * server.size  # own ones are too few beside those of all
+        if self.host.now - server.held_at < LOAD_KEPT and (brim := self.brims.get(server.kind)):
+            fill = fill if self.live_sizes else brim[0] / max(brim[1], 1e-6)  # told by the fleet: of all
+            own = self.load_of(server) * fill * server.size
         shared = self.share_groups and group is not None and server is not home
         if shared and all(sess.group != group for sess in server.connections):
-            own += GROUP_COST * (self.fill * server.size + CHANCE)
-        return (own + 1.0) / server.size * (1.0 + server.score(self.host.now))
+            own += GROUP_COST * (fill * server.size + CHANCE)
+        far = FAR if self.sparse and server not in (home, *self.near) else 1.0  # a crossing, or still cold
+        return (own + 1.0) / server.size * (1.0 + server.score(self.host.now)) * far
 
     def home(self, sess: Session) -> Server | None:
         """The remembered best: per group where groups share work. For a group not met yet, the first fit one
         from the group's place on a ring: the same at all balancers, so that it meets without a word."""
         known = self.memory.get(group := sess.group if self.share_groups else None)
         if group is None or known and self.well(known, sess):
-            return known
+            return None if group is None and self.sparse else known  # chance, or what all pick
         at, steps = bisect(self.ring, (draw(group), 0)), range(min(HOMES, len(self.ring)))
         # Arriving ones too, at their pace: the groups of servers replaced at once would fill those left over.
         fit = self.open_to((self.fleet[self.ring[(at + step) % len(self.ring)][1]] for step in steps), sess)
@@ -535,21 +530,25 @@
     def pick(self, sess: Session) -> Server | None:
         home = self.home(sess)
         if home is None and sess.group is not None and self.share_groups and self.sparse:
-            # Strewn over the fleet, each group's work is paid for everywhere: a jam that feeds itself.
-            return None
+            return None  # strewn, each group's work is paid for everywhere: a jam that feeds itself
         bound = sess.may_run_at is not None and sess.listener.repeat is not Repeat.REPEATABLE
         pool = self.fleet if bound else self.working
-        if len(pool) > LEAST and not bound:
-            pool = self.rng.sample(pool, LEAST // 2)  # the work for one dial does not grow with the fleet
+        if len(pool) > LEAST and not bound:  # the work for one dial does not grow with the fleet
+            pool = self.rng.sample(self.near, min(4, len(self.near))) + self.rng.sample(pool, LEAST // 2)
         pool = list(self.open_to(pool, sess))
         pool = [s for s in pool if s not in sess.tried] or pool
         arriving = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
         rest = [s for s in pool if s not in arriving]
-        sess.drawn = list(self.open_to(sess.drawn, sess)) or self.rng.sample(rest, min(2, len(rest)))
+        sess.drawn = list(self.open_to(sess.drawn, sess)) or self.draw_from(rest)
         homes = self.open_to([home], sess) if home and home not in sess.tried else ()
         candidates = (*homes, *arriving, *sess.drawn)
         return min(candidates, key=lambda s: self.weight(s, sess.group, home), default=None)
 
+    def draw_from(self, rest: list[Server]) -> list[Server]:
+        """Two random ones; where own connections are few, and tell less than a zone, two near and one."""
+        near, some = [s for s in rest if s in self.near], self.rng.sample
+        return some(near, min(2, len(near))) + some(rest, min(1 if near else 2, len(rest)))
+
     def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
              time_left: float, load: float | None) -> Session:  # fmt: skip
         sess = Session(self, token, listener, customer, group, self.host.now + time_left, load)
@@ -601,8 +600,7 @@
         """Where own connections are few the one picked is asked before a dial; one silent is passed over."""
         if not self.sparse or not self.probes:
             return False
-        told = now - server.held_at < LOAD_KEPT  # carried on by the list a report is good for longer
-        if now - server.load_at < (LOAD_KEPT if told else REPORT_AGE):
+        if now - server.load_at < (LOAD_KEPT if now - server.held_at < LOAD_KEPT else REPORT_AGE):
             # Many balancers that see the same room all fill it: each takes its part by chance, as if alike.
             room = (FULL_LOAD - self.load_of(server)) * self.fill * server.size
             crowd = self.budget.rate(now) * REPORT_AGE / max(1.0, self.open_share * len(self.fleet))
@@ -633,8 +631,8 @@
         else:
             self.host.tear_down(sess.token)
 
-    def load_told(self, server: Server, load: float) -> None:
-        server.load, server.load_at, server.load_count = load, self.host.now, len(server.connections)
+    def load_told(self, server: Server, load: float, age: float = 0.0) -> None:
+        server.load, server.load_at, server.load_count = load, self.host.now - age, len(server.connections)
         server.load_held = server.held
         if server.held > 0.0 and not server.arrival and self.host.now - server.held_at < LOAD_KEPT:
             held, total = self.brims.get(server.kind, (0.0, 0.0))
@@ -673,10 +671,12 @@
             self.host.probe(server.name)
         self.later(1.0 / min(1.0 / TICK, max(rate, 0.2)), self.probe_round)
 
-    def probed(self, name: str, end: DialEnd, took: float, load: float | None) -> None:
-        server = self.servers.get(name)
+    def probed(self, name: str, end: DialEnd, took: float, load: float | None, age: float = 0.0,
+               held: float | None = None) -> None:  # held: open connections of all balancers, where they tell
+        if (server := self.servers.get(name)) and held is not None and not self.live_sizes:
+            server.held, server.held_at = held / server.size, self.host.now - age
         if server and end is DialEnd.OK and load is not None:
-            self.load_told(server, load)
+            self.load_told(server, load, age)
         elif server and end not in (DialEnd.OK, DialEnd.FULL):
             self.blame(server, 1.0)
         if self.sparse:
--- a/onyxhollow/recall.py
+++ b/onyxhollow/recall.py
@@ -21,6 +21,13 @@
     return [told.value, now - told.at] if told.fresh(now) is not None else None
 
 
+def avoided(balancer: Balancer) -> tuple[int, int]:
+    """Servers in the list, and those passed over for what is wrong with them; a full one is not down."""
+    listed = [s for s in balancer.servers.values() if s.readiness is not Readiness.GONE]
+    bar, now = balancer.bar, balancer.host.now
+    return len(listed), sum(s.readiness is Readiness.DRAINING or s.score(now) > bar for s in listed)
+
+
 def describe(balancer: Balancer) -> tuple[dict[str, Any], list[dict[str, Any]]]:
     """What holds for all servers, and a record for each."""
     now, budget = balancer.host.now, balancer.budget
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -8,7 +8,7 @@
 import struct
 from collections.abc import Callable, Generator
 
-from onyxhollow.lifecycle.loop import READ, WRITE, Hurry, Loop
+from onyxhollow.loop import READ, WRITE, Hurry, Loop
 from onyxhollow.memory.buffers import BufferPool, LineBuffer
 from onyxhollow.memory.tables import Address
 
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -12,7 +12,7 @@
 import orjson
 
 from onyxhollow.interface import Entry, ListKind, Readiness
-from onyxhollow.lifecycle.loop import Loop
+from onyxhollow.loop import Loop
 from onyxhollow.memory.buffers import BufferPool
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Address, Addresses
@@ -37,6 +37,14 @@
     """An answer that is not a list of servers."""
 
 
+class StatusError(ListError):
+    """Another status than 200."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(f"status {status}")
+        self.status = status
+
+
 @dataclass(slots=True)
 class ServerList:
     version: int
@@ -95,9 +103,10 @@
     def reusable(self) -> bool:
         return not self.channel.ended and self.speaker.our_state is h11.IDLE
 
-    def get(self, target: str, until: float, superseded: Callable[[], bool]) -> Generator[float, None, bytes]:
+    def get(self, target: str, until: float, superseded: Callable[[], bool],
+            method: str = "GET") -> Generator[float, None, bytes]:  # fmt: skip
         headers = [("Host", self.host), ("Accept", "application/json")]
-        request = h11.Request(method="GET", target=target, headers=headers)
+        request = h11.Request(method=method, target=target, headers=headers)
         for part in (request, h11.EndOfMessage()):
             self.channel.write(self.speaker.send(part) or b"")
         body = bytearray()
@@ -119,7 +128,7 @@
                     yield until
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
-                    raise ListError(f"status {event.status_code}")
+                    raise StatusError(event.status_code)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > LARGEST:
@@ -147,6 +156,7 @@
         self.rows: dict[str, Any] = {}  # the list as it was told, for a successor
         self.call: Call | None = None
         self.next: Address | None = None  # to be followed from now on
+        self.resting = False  # another member of the fleet follows the list for this proxy
         self.task = loop.spawn(self.follow())
 
     def ask(self) -> None:
@@ -158,6 +168,11 @@
         """The list as last told, in discovery's form."""
         return {"seq": self.version, "whole": True, "hosts": list(self.rows.values())}
 
+    def rest(self, does: bool) -> None:
+        """The fleet tells the list, or this proxy asks for itself again, at once."""
+        self.resting, self.asked = does, self.asked or not does
+        self.task.wake()
+
     def settle(self, wait: float, pushed: bool) -> None:
         self.wait, self.pushed = wait, pushed
 
@@ -173,7 +188,7 @@
 
     def follow(self) -> Generator[float, None, None]:
         while True:
-            while not self.asked:
+            while not self.asked or self.resting:
                 yield math.inf
             # A call is a watch from the first on: one that only asks for news would take a second turn at the
             # service, and would be given up in a queue in which a watch waits its time.
@@ -186,7 +201,9 @@
                     while self.loop.now < until and self.next is None:
                         yield until
                 self.spread /= 2
-            if self.pushed:
+                if self.resting:
+                    break
+            if self.pushed and not self.resting:
                 yield from self.loop.sleep(ASK_AGAIN)
                 self.asked = True
 
@@ -204,13 +221,15 @@
                 self.hang_up()
                 self.call = Call(self.loop, self.address, self.pool, lambda: self.task.wake())
             until = self.loop.now + wait + ANSWER
-            body = yield from self.call.get(target, until, lambda: self.next is not None)
+            body = yield from self.call.get(target, until, lambda: self.next is not None or self.resting)
             told = orjson.loads(body)
             news = read_list(told, self.clock_ahead)
         except (ListError, OSError, ValueError, h11.ProtocolError) as error:
             self.hang_up()
             if self.next is not None:
                 return True  # it failed because it is left, or just before: the new one is asked at once
+            if self.resting:
+                return False  # left because the fleet tells the list: no failure
             self.counters.add("list failures")
             self.spread = min(self.wait / 4, LONGEST_SPREAD)
             self.asked = False  # asked for while the call was out: when to ask again is said anew now
@@ -218,18 +237,22 @@
             self.version = -1 if isinstance(error, ValueError) else self.version
             self.told(ListKind.FAILED, [])
             return False
+        self.asked = self.soon = False
+        self.take(told["hosts"], news)
+        return True
+
+    def take(self, rows: list[Any], news: ServerList) -> None:
+        """What the list service has said, to this proxy or to another of the fleet; rows in its own form."""
         for name, address in news.addresses.items():
             self.addresses.learn(name, address)
         if news.whole:
             self.rows.clear()
-        self.rows.update((row["host"], row) for row in told["hosts"])
+        self.rows.update((row["host"], row) for row in rows)
         if news.entries or news.whole or news.version != self.version:
-            rows = [f"{e.name} {e.readiness.value}" + self.age(e) for e in news.entries]
-            self.log("list", version=news.version, whole=news.whole, rows=rows[:24])
+            lines = [f"{e.name} {e.readiness.value}" + self.age(e) for e in news.entries]
+            self.log("list", version=news.version, whole=news.whole, rows=lines[:24])
         self.version = news.version
-        self.asked = self.soon = False
         self.told(ListKind.FULL if news.whole else ListKind.CHANGES, news.entries)
-        return True
 
     def age(self, entry: Entry) -> str:
         return "" if entry.started is None else f", started {self.loop.now - entry.started:.1f} s ago"
--- a/onyxhollow/wire/passing.py
+++ b/onyxhollow/wire/passing.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from onyxhollow.lifecycle.loop import READ, Loop
+from onyxhollow.loop import READ, Loop
 
 VERSION = 1  # of the messages; another's are refused
 LARGEST = 128 * 1024  # bytes of a message; a connection with more still to be written is moved instead
--- a/onyxhollow/wire/servers.py
+++ b/onyxhollow/wire/servers.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from onyxhollow.interface import DialEnd
-from onyxhollow.lifecycle.loop import Loop
+from onyxhollow.loop import Loop
 from onyxhollow.memory.buffers import BufferPool, LongLineError
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Addresses
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -10,11 +10,11 @@
 
 from onyxhollow.facade import Facade, Handle
 from onyxhollow.interface import Customer, DialEnd, Listener, Repeat, Scope
-from onyxhollow.lifecycle.loop import Loop, Task
-from onyxhollow.lifecycle.service import Service, ServiceState
+from onyxhollow.loop import Loop, Task
 from onyxhollow.memory.buffers import SIZE, BufferPool, LongLineError
 from onyxhollow.memory.counters import ACCEPTED, REFUSED, TORN_DOWN, Counters
 from onyxhollow.memory.tables import Addresses, SessionTable
+from onyxhollow.service import Service, ServiceState
 from onyxhollow.wire.channel import Channel
 from onyxhollow.wire.messages import MalformedError, Opening, read_opening, rest, told_figure, word
 from onyxhollow.wire.passing import Passing
