--- a/onyxhollow/__main__.py
+++ b/onyxhollow/__main__.py
@@ -1,4 +1,4 @@
-"""The command line: serve, check, version, lab."""
+"""The command line: serve, check, version, lab, gate; the others ask a running process."""
 
 from __future__ import annotations
 
@@ -9,15 +9,33 @@
 from onyxhollow import __version__
 
 
+def lacks(extra: str, error: ImportError) -> int:
+    """Its libraries are an extra: serve by itself needs none of them."""
+    sys.stderr.write(f"onyxhollow: the {extra} needs {error.name}: pip install 'onyxhollow[{extra}]'\n")
+    return 2
+
+
 def main(words: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser(prog="onyxhollow", description="A balancer for long-lived connections.")
     commands = parser.add_subparsers(dest="command", required=True)
     for name, does in (("serve", "run one proxy"), ("check", "check a configuration and say what it holds")):
         command = commands.add_parser(name, help=does)
         command.add_argument("--config", default=os.environ.get("LB_CONFIG"), help="JSON; else $LB_CONFIG")
+        command.add_argument("--fleet", default=os.environ.get("LB_FLEET"), help="TOML; else $LB_FLEET")
     commands.add_parser("version", help="print the version")
     lab = commands.add_parser("lab", help="play days on a model of fleet and clients", add_help=False)
     lab.add_argument("words", nargs=argparse.REMAINDER)
+    for name, does in (
+        ("members", "who is there, as a running process sees it"),
+        ("duties", "who holds what; hand over, release"),
+        ("voters", "who votes on duties; replace one"),
+        ("topology", "the picture of a fleet: draw, show, diff, save, record, replay"),
+        ("addresses", "shared service addresses: which site advertises what, and why; orders"),
+    ):
+        command = commands.add_parser(name, help=does, add_help=False)
+        command.add_argument("words", nargs=argparse.REMAINDER)
+    gate = commands.add_parser("gate", help="stand between a site's announcers and its routing daemon")
+    gate.add_argument("--config", required=True, help="TOML")
     told = parser.parse_args(words)
     if told.command == "version":
         print(__version__)
@@ -25,20 +43,47 @@
     if told.command == "lab":
         try:
             from onyxhollow.lab.cli import main as play
-        except ImportError as error:  # its libraries are an extra: serve needs none of them
-            sys.stderr.write(f"onyxhollow: the lab needs {error.name}: pip install 'onyxhollow[lab]'\n")
-            return 2
+        except ImportError as error:
+            return lacks("lab", error)
         return play(told.words)
 
+    if told.command == "topology":
+        try:
+            from onyxhollow.topology.commands import main as picture
+        except ImportError as error:
+            return lacks("topology", error)
+        return picture(told.words)
+
+    if told.command in ("members", "duties", "voters", "addresses", "gate"):
+        try:
+            if told.command == "gate":
+                from onyxhollow.fleet.gate import main as stand
+
+                return stand(told.config)
+            if told.command == "addresses":
+                from onyxhollow.fleet.addressing import main as ask
+
+                return ask(told.words)
+            from onyxhollow.fleet.commands import main as call
+        except ImportError as error:
+            return lacks("fleet", error)
+        return call(told.command, told.words)
+
     from onyxhollow.lifecycle.config import ConfigError, read_config
     from onyxhollow.lifecycle.proxy import clock_ahead, serve
 
-    ahead = clock_ahead()
+    ahead, fleet = clock_ahead(), None
     try:
         if not told.config:
             raise ConfigError("no configuration: neither --config nor $LB_CONFIG")
         config = read_config(told.config, ahead)
-    except ConfigError as error:
+        if told.fleet:
+            from onyxhollow.fleet.file import read_fleet
+
+            fleet = read_fleet(told.fleet)
+    except ImportError as error:
+        return lacks("fleet", error)
+    except ValueError as error:  # ConfigError, FleetError
         sys.stderr.write(f"onyxhollow: {error}\n")
         return 2
     if told.command == "check":
@@ -51,7 +96,19 @@
         print(f"weights {weights}, list {how}, groups {'on' if settings.groups else 'off'}, "
               f"a probe costs {settings.probe_price:g}, a crossing {settings.crossing_price:g}")  # fmt: skip
         print(f"servers known {len(config.known.entries)}, listeners {len(settings.listeners)}")
+        if fleet:
+            duties = ", ".join(f"{duty.name} ({duty.work}, one a {duty.per})" for duty in fleet.told.duty)
+            print(f"fleet {fleet.told.fleet}: member at {fleet.advertise[0]}:{fleet.advertise[1]}, "
+                  f"voters {', '.join(fleet.told.voters)}, lease {fleet.told.leases.lease:g} s")  # fmt: skip
+            print(f"duties: {duties or 'none'}")
+            if shared := fleet.addresses:
+                names, sites = (", ".join(row.name for row in some) for some in (shared.service, shared.site))
+                print(f"addresses: {names} at {sites}, at least {shared.policy.least}")
         return 0
+    if fleet:
+        from onyxhollow.fleet.node import attach
+
+        return serve(config, told.config, ahead, attach(fleet))
     return serve(config, told.config, ahead)
 
 
--- a/onyxhollow/lab/cli.py
+++ b/onyxhollow/lab/cli.py
@@ -35,6 +35,8 @@
     run.add_argument("--json", metavar="FILE", help="all figures, with series for reports")
     run.add_argument("--engine", choices=("virtual", "sockets"), default="virtual")
     run.add_argument("--logs", type=Path, help="on sockets: where the proxies' logs stay")
+    run.add_argument("--picture", type=Path, help="in virtual time: a snapshot for onyxhollow topology")
+    run.add_argument("--picture-at", type=float, default=0.0, metavar="SECONDS", help="else half of the run")
     for name, does in (
         ("experiment", "scenarios x policies x seeds; resumable"),
         ("compare", "is B better than A, where, by how much, how sure"),
@@ -68,6 +70,17 @@
     show = commands.add_parser("report", help="HTML of one run, or of two beside each other")
     show.add_argument("runs", nargs="+", type=Path, help="files of run --json, or folders of them")
     show.add_argument("--out", type=Path, help="else beside the first run")
+    show.add_argument("--svg", type=Path, metavar="FOLDER", help="maps of load and herds of one run")
+    fleet = commands.add_parser("fleet", help="duties on real processes, with faults between them")
+    parts = fleet.add_subparsers(dest="part", required=True)
+    parts.add_parser("list", help="courses")
+    play = parts.add_parser("run", help="one course, shown live, judged from its record")
+    play.add_argument("course", help="a name of list, or a file")
+    play.add_argument("--seed", type=int, help="instead of the file's")
+    play.add_argument("--members", type=int, help="instead of the file's")
+    play.add_argument("--logs", type=Path, help="where the processes' files and logs stay")
+    play.add_argument("--json", action="store_true", help="the verdict for programs")
+    commands.add_parser("demo-addresses", help="three sites, one lost, shown live; half a minute")
     commands.add_parser("demo", help="a small fleet on sockets, shown live; half a minute")
     return top
 
@@ -75,7 +88,7 @@
 def main(words: list[str]) -> int:
     told = parser().parse_args(words)
     try:
-        return int(globals()[f"do_{told.command}"](told))
+        return int(globals()[f"do_{told.command.replace('-', '_')}"](told))
     except (scenario.ScenarioError, decisions.PolicyError, runs.RunError) as error:
         sys.stderr.write(f"onyxhollow: {error}\n")
         return 2
@@ -95,12 +108,27 @@
     return 0
 
 
+def do_fleet(told: argparse.Namespace) -> int:
+    from onyxhollow.lab.fleet import course, show
+
+    try:
+        return show.listed() if told.part == "list" else show.play(told)
+    except course.CourseError as error:
+        raise runs.RunError(str(error)) from None
+
+
 def do_demo(_: argparse.Namespace) -> int:
     from onyxhollow.lab import demo
 
     return demo.show(Console())
 
 
+def do_demo_addresses(_: argparse.Namespace) -> int:
+    from onyxhollow.lab.fleet import demo
+
+    return demo.show(Console())
+
+
 def do_search(told: argparse.Namespace) -> int:
     from onyxhollow.lab import search
 
@@ -140,7 +168,13 @@
     files = [path for path in told.runs if not path.is_dir()]
     if len(files) > 2:
         raise runs.RunError(f"report: expected one run or two, got {len(files)}")
-    if files:
+    if told.svg and files:
+        run = read_run(files[0])
+        told.svg.mkdir(parents=True, exist_ok=True)
+        for name, made in (("load", report.heat(run, 9.6)), ("herds", report.herds(run, 9.6))):
+            (told.svg / f"{name}.svg").write_text(made)
+            print(told.svg / f"{name}.svg")
+    elif files:
         out = told.out or files[0].with_suffix(".html")
         report.write([read_run(path) for path in files], out)
         print(out)
@@ -164,6 +198,7 @@
             told.engine,
             told.logs,
             lambda now, of: bar.update(task, completed=now),
+            (told.picture, told.picture_at or day.seconds / 2) if told.picture else None,
         )
     if told.json:
         Path(told.json).write_bytes(runs.text(figures))
@@ -235,7 +270,8 @@
 
 
 def do_compare(told: argparse.Namespace) -> int:
-    found = experiment.compare(carried_out(told, [told.a, told.b]), told.a, told.b)
+    runs_made = carried_out(told, [told.a, told.b])
+    found = experiment.compare(runs_made, told.a, told.b)
     table = Table("scenario", told.a, told.b, "difference", "95%", "", "rules broken", box=None)
     for row in found:
         table.add_row(
@@ -248,6 +284,11 @@
             f"{row.broken_a}, {row.broken_b}" if row.broken_a or row.broken_b else "",
         )
     Console().print(table)
+    even = experiment.evenness(runs_made, [told.a, told.b])
+    table = Table("evenness, mean", told.a, told.b, box=None)
+    for name, values in even.items():
+        table.add_row(name.replace("_", " "), *(f"{value:.3f}" for value in values))
+    Console().print(table)
     if told.json:
         Path(told.json).write_text(json.dumps([asdict(row) for row in found]))
     return 0
@@ -274,6 +315,10 @@
     table.add_row(
         "message", f"{figures['message_ms']['p50']:g} ms", f"99%: {figures['message_ms']['p99']:g} ms"
     )
+    even = figures["evenness"]
+    table.add_row("busiest server", f"{even['worst_over_mean']:.3f}", "over the mean, in the median second")
+    table.add_row("idle servers", str(even["idle_servers"]), f"{even['idle_seconds']:g} s in sum")
+    table.add_row("herds", f"{even['herd_p99']:.2f}", "new connections over chance, 99th percentile")
     console.print(table)
     counts = figures["counts"]
     console.print(
--- a/onyxhollow/lab/experiment.py
+++ b/onyxhollow/lab/experiment.py
@@ -128,6 +128,17 @@
         save(path, told)
 
 
+EVEN = ("variation", "worst_over_mean", "worst_over_mean_p90", "idle_servers", "swings", "herd_p99")
+
+
+def evenness(results: list[dict[str, Any]], policies: list[str]) -> dict[str, list[float]]:
+    """Means over all runs of each policy, by figure. Runs kept from before these figures say nothing."""
+    by = {policy: [run["evenness"] for run in results if run["policy"] == policy and "evenness" in run]
+          for policy in policies}  # fmt: skip
+    return {name: [float(np.mean([row[name] for row in by[policy]])) if by[policy] else float("nan")
+                   for policy in policies] for name in EVEN}  # fmt: skip
+
+
 @dataclass(frozen=True, slots=True)
 class Difference:
     """Of B over A, paired by seed: mean, and a bootstrap interval of 95%."""
--- a/onyxhollow/lab/ledger.py
+++ b/onyxhollow/lab/ledger.py
@@ -12,6 +12,7 @@
 import numpy as np
 from hdrh.histogram import HdrHistogram
 
+from onyxhollow.lab.evenness import Evenness
 from onyxhollow.lab.world.clients import Cause
 
 if TYPE_CHECKING:
@@ -43,6 +44,8 @@
         self.setup_by_listener = [histogram() for _ in range(self.listeners)]
         self.loads: dict[str, list[tuple[int, float]]] = {}
         self.counts: dict[str, int] = {}
+        fleet = scenario.fleet
+        self.evenness = Evenness(fleet.report_every + fleet.report_delay)
         for wish in wishes:
             begin, end = wish.due, min(wish.end, self.horizon)
             if end <= begin:
@@ -145,6 +148,7 @@
             "message_ms": quantiles(self.message),
             "histograms": {"setup": packed(self.setup), "message": packed(self.message)},
             "counts": dict(sorted(self.counts.items())),
+            "evenness": self.evenness.figures(),
         }
 
     def series(self) -> dict[str, Any]:
@@ -158,6 +162,7 @@
             "earned": short(self.earned),
             "lost": {cause.value: short(row) for cause, row in self.lost.items() if any(row)},
             "loads": {name: [list(pair) for pair in row] for name, row in sorted(self.loads.items())},
+            "evenness": self.evenness.series(),
             "setup": cdf(self.setup),
             "message": cdf(self.message),
             "setup_by_listener": {
--- a/onyxhollow/lab/referee.py
+++ b/onyxhollow/lab/referee.py
@@ -184,6 +184,12 @@
         else:
             self.told.setdefault((proxy, server), now)
 
+    def back(self, server: str) -> None:
+        """One proxy of a fleet was told that it is in service again, and tells the others: a drain that they
+        were told of before is over. Of drains each is held to what it was told itself, as ever."""
+        for proxy, name in [key for key in self.told if key[1] == server]:
+            del self.told[proxy, name]
+
     def asks(self, now: float, proxy: int) -> None:
         self.asked[proxy] = now
 
--- a/onyxhollow/lab/runs.py
+++ b/onyxhollow/lab/runs.py
@@ -31,14 +31,18 @@
     engine: str = "virtual",
     logs: Path | None = None,
     progress: Callable[[float, float], None] = lambda now, of: None,
+    picture: tuple[Path, float] | None = None,
 ) -> dict[str, Any]:
     """A run. Raises decisions.PolicyError, and RunError for what else can't be played.
 
     engine: virtual, or sockets (which plays what serve is made of: the module). logs: where the
-    proxies' logs go. The figures of a virtual run hold nothing that differs from one process to
-    another: no wall time, no path.
+    proxies' logs go. picture: where a snapshot for the topology tool goes, and at which second it is
+    taken; in virtual time, of the module (on sockets the logs tell as much). The figures of a virtual
+    run hold nothing that differs from one process to another: no wall time, no path.
     """
     maker = decisions.find(policy)
+    if picture and (engine != "virtual" or policy != "module"):
+        raise RunError("--picture: expected the module in virtual time; on sockets --logs can be drawn")
     found: dict[str, Any] = {}
     log: list[Any] = []
     try:
@@ -50,7 +54,14 @@
             world, found = play_on_sockets(scenario, seed, logs, progress)
         else:
             virtual = Virtual(scenario, seed, maker)
-            world, log = virtual.run(), virtual.logs
+            if picture:
+                virtual.begin()
+                virtual.world.agenda.run(min(picture[1], scenario.seconds))
+                take(virtual, picture[0])
+                virtual.world.agenda.run(scenario.seconds)
+                world, log = virtual.end(), virtual.logs
+            else:
+                world, log = virtual.run(), virtual.logs
     except (OSError, ValueError) as error:
         raise RunError(f"{scenario.title}: $.clients.record: {error}") from None
     except RuntimeError as error:
@@ -81,6 +92,16 @@
     return told
 
 
+def take(virtual: Virtual, path: Path) -> None:
+    from onyxhollow.lab import pictures
+    from onyxhollow.topology import keep
+
+    try:
+        keep.save(path, pictures.taken(virtual))
+    except keep.SnapshotError as error:
+        raise RunError(f"--picture: {error}") from None
+
+
 def text(told: dict[str, Any]) -> bytes:
     """The run as JSON, always the same for the same run."""
     return msgspec.json.format(msgspec.json.encode(told, order="sorted"), indent=1)
--- /dev/null
+++ b/onyxhollow/lab/together.py
@@ -0,0 +1,124 @@
+"""Sharing in virtual time: the members' cores as they are, between the instances of an engine.
+
+Who is there is known a moment after it has changed, as membership would tell it; messages take the network's
+time, and links that are cut for servers of a zone are cut for its proxies too.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from onyxhollow.facade import report_shared
+from onyxhollow.sharing.core import Sharing, Terms
+from onyxhollow.sharing.messages import Counts, Page
+
+if TYPE_CHECKING:
+    from onyxhollow.lab.virtual import Instance, Virtual
+
+NOTICED = 2.0  # seconds until all know that a member is gone
+SEEN = 0.5  # ... that one has come
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """What is done to sharing alone."""
+
+    cut_from: float = 0.0
+    cut_until: float = 0.0  # zones hear nothing of one another meanwhile
+    liars: int = 0  # members that tell absurd loads as new, and counts a thousand times too high
+
+
+class Talk:
+    def __init__(self, engine: Virtual, terms: Terms, trouble: Trouble) -> None:
+        self.engine, self.terms, self.trouble = engine, terms, trouble
+        self.world = engine.world
+        self.cores: dict[int, Sharing] = {}  # by proxy
+        self.where: dict[int, int] = {}  # by epoch: proxy
+        self.rng = Random(engine.world.seed * 7 + 5)
+        self.messages = self.rows = 0
+
+    def joined(self, instance: Instance, epoch: int) -> None:
+        """A proxy has started."""
+        now, zone = self.world.agenda.now, self.world.zone_name(instance.zone)
+        core = Sharing(f"n{instance.number}", epoch, zone, self.terms, Random(epoch * 31 + 7), now)
+        self.cores[instance.number], self.where[epoch] = core, instance.number
+        self.world.agenda.after(SEEN if now else 0.0, self.meet)
+        self.world.agenda.at(core.due, self.tick, instance, core)
+
+    def left(self, number: int) -> None:
+        if self.cores.pop(number, None):
+            self.world.agenda.after(NOTICED, self.meet)
+
+    def meet(self) -> None:
+        there = [(core.epoch, core.name, core.zone) for core in self.cores.values()]
+        for core in self.cores.values():
+            core.meet(there)
+
+    def tick(self, instance: Instance, core: Sharing) -> None:
+        if not instance.alive or self.cores.get(instance.number) is not core:
+            return
+        now, balancer = self.world.agenda.now, instance.balancer
+        if now < instance.stalled_until:
+            self.world.agenda.at(instance.stalled_until, self.tick, instance, core)
+            return
+        core.listed({server.name: server.zone for server in balancer.fleet})
+        own = {s.name: len(s.connections) for s in balancer.servers.values() if s.connections}
+        if instance.number < self.trouble.liars:
+            own = {name: 1000 * count for name, count in own.items()}
+        core.tick(own, now)
+        self.pass_on(instance, core)
+        self.world.agenda.at(core.due, self.tick, instance, core)
+
+    def pass_on(self, instance: Instance, core: Sharing) -> None:
+        """What a core has left to be done."""
+        for server in core.ask:
+            instance.probe(server, shared=True)
+        for epoch, message in core.out:
+            other = self.where.get(epoch)
+            if other is None or self.cut(instance.number, other):
+                continue
+            if instance.number < self.trouble.liars and isinstance(message, Page):
+                message = self.lie(message)
+            there = self.world.proxies[other].zone
+            self.messages += 1
+            takes = self.engine.one_way(instance.zone, there, None)
+            self.world.agenda.after(takes, self.arrive, other, epoch, core.epoch, message)
+        news, core.ask, core.out, core.news = core.news, [], [], []
+        for one in news:
+            report_shared(instance.balancer, one)
+
+    def arrive(self, number: int, epoch: int, sender: int, message: Page | Counts) -> None:
+        core, instance = self.cores.get(number), self.engine.instances.get(number)
+        if core is None or instance is None or core.epoch != epoch:
+            return
+        if self.world.agenda.now < instance.stalled_until:
+            self.world.agenda.at(instance.stalled_until, self.arrive, number, epoch, sender, message)
+            return
+        core.heard(sender, message, self.world.agenda.now)
+        self.pass_on(instance, core)
+
+    def cut(self, one: int, other: int) -> bool:
+        proxies, trouble = self.world.proxies, self.trouble
+        if proxies[one].zone != proxies[other].zone and (
+            trouble.cut_from <= self.world.agenda.now < trouble.cut_until
+        ):
+            return True
+        for cut in self.world.cuts.values():
+            for here, there in ((one, other), (other, one)):
+                zone = proxies[there].zone
+                if here in cut.proxies and any(self.world.by_name[s].zone == zone for s in cut.servers):
+                    return True
+        return False
+
+    def lie(self, page: Page) -> Page:
+        """Old news as new, loads turned round."""
+        rows = [
+            msgspec.structs.replace(row, age=0, number=row.number + 1, load_age=0,
+                                    load=max(0, 1300 - row.load), held=self.rng.randrange(2000))
+            for row in page.rows
+        ]  # fmt: skip
+        return Page(rows)
--- /dev/null
+++ b/onyxhollow/topology/__init__.py
@@ -0,0 +1,1 @@
+"""The picture of a fleet: gathered from its members, kept, compared, drawn."""
--- /dev/null
+++ b/tests/test_topology.py
@@ -0,0 +1,362 @@
+"""The picture of a fleet: what it names, how it is kept, compared and drawn; and on real processes."""
+
+import socket
+import threading
+import xml.dom.minidom
+
+import msgspec
+import pytest
+
+from onyxhollow.lab import runs, scenario
+from onyxhollow.lab.fleet.rig import Rig, text
+from onyxhollow.lab.fleet.sites import Sites
+from onyxhollow.topology import commands, compare, draw, gather, keep, layout, logs, trouble
+from onyxhollow.topology.model import Address, Duty, Link, Member, Server, Snapshot, View
+
+
+def fleet(count, zones=("a", "b"), servers=4, odd=()):
+    """Views of members that all see all."""
+    names = [*odd, *(f"n{n}" for n in range(count - len(odd)))]
+    rows = [Member(name, 1, "alive", zones[n % len(zones)]) for n, name in enumerate(names)]
+    blocks = [Server(f"s{n}", zones[n % len(zones)], own=1, load=0.3, load_age=1.0) for n in range(servers)]
+    views = [View(f"{row.name}~1", row.zone, "1", "in service", members=rows, servers=blocks,
+                  links=[Link(other.name, 1, 0.5, 9, 0.0, 1.0) for other in rows if other is not row],
+                  duties=[Duty("voters", 3, f"{names[0]}~1", "holding" if n == 0 else "idle")])
+             for n, row in enumerate(rows)]  # fmt: skip
+    return Snapshot(1000.0, views)
+
+
+def seen(snapshot, who, **lives):
+    """The same with one member holding others for something else."""
+    change = msgspec.structs.replace
+    views = []
+    for view in snapshot.views:
+        rows = [change(row, life=lives.get(row.name, row.life)) for row in view.members]
+        views.append(change(view, members=rows) if view.name in who else view)
+    return change(snapshot, views=views)
+
+
+def kinds(snapshot):
+    return [(one.kind, one.who) for one in trouble.find(snapshot)]
+
+
+def test_a_well_fleet_has_no_trouble_and_each_trouble_is_named_once():
+    well = fleet(6)
+    assert kinds(well) == [] and kinds(Snapshot(1.0)) == []
+    halves = seen(well, ("n0", "n2", "n4"), n1="dead", n3="dead", n5="dead")
+    halves = seen(halves, ("n1", "n3", "n5"), n0="dead", n2="dead", n4="dead")
+    assert kinds(halves) == [("cut", ("n1", "n3", "n5"))]
+    five = msgspec.structs.replace(well, views=[view for view in well.views if view.name != "n3"])
+    assert kinds(seen(five, ("n0", "n1", "n2", "n4", "n5"), n3="dead")) == [("gone", ("n3",))]
+    deaf = [Link("n0", 1, 30.0, 9, 1.0, 0.0)]
+    rest = [msgspec.structs.replace(view, links=deaf) if view.name == "n1" else view for view in well.views]
+    assert kinds(msgspec.structs.replace(well, views=rest)) == [("one-way", ("n0", "n1"))]
+    asleep = [msgspec.structs.replace(view, stalled=3.0, stalled_ago=1.0) if view.name == "n2" else view
+              for view in well.views]  # fmt: skip
+    assert kinds(msgspec.structs.replace(well, views=asleep)) == [("stalled", ("n2",))]
+    free = [Duty("voters", 3, "n0~1", "idle")]
+    unheld = [msgspec.structs.replace(view, duties=free) for view in well.views]
+    assert kinds(msgspec.structs.replace(well, views=unheld)) == [("no holder", ("voters",))]
+    away = [msgspec.structs.replace(view, service="leaving" if view.zone == "b" else "in service")
+            for view in well.views]  # fmt: skip
+    assert kinds(msgspec.structs.replace(well, views=away)) == [("zone draining", ("b",))]
+    two = [msgspec.structs.replace(view, version="2") if view.name == "n0" else view for view in well.views]
+    assert kinds(msgspec.structs.replace(well, views=two)) == [("versions", ("1", "2"))]
+    out = [msgspec.structs.replace(view, addresses=[Address("x", "a", "withdrawn", "health")])
+           for view in well.views[:1]] + well.views[1:]  # fmt: skip
+    assert kinds(msgspec.structs.replace(well, views=out)) == [("withdrawn", ("x", "a"))]
+
+
+def large(cut=(), deaf=""):
+    """Eighty members of two zones that have each asked six others of late; ways from source to target of
+    `cut` (zones) are down, and all that goes to `deaf`."""
+    zones = {f"n{n}": "ab"[n % 2] for n in range(80)}
+    heard = {}
+    for n in range(80):
+        for far in (1, 2, 3, 20, 35, 50):
+            a, b = f"n{n}", f"n{(n + far) % 80}"
+            goes = (zones[a], zones[b]) not in cut and b != deaf
+            back = goes and (zones[b], zones[a]) not in cut and a != deaf
+            heard[a, b] = Link(b, 1, 5.0 if back else 500.0, 4, 0.2, 1.0, 5.0)
+            if goes:
+                heard[b, a] = heard.get((b, a), Link(a, 1, 5.0, 4, 0.2, 1.0, 500.0))
+    rows = [Member(name, 1, "alive", zone) for name, zone in zones.items()]
+    views = []
+    for name, zone in zones.items():
+        links = [link for (a, _), link in heard.items() if a == name]
+        views.append(View(f"{name}~1", zone, "1", "in service", members=rows, links=links))
+    return Snapshot(1000.0, views)
+
+
+def test_links_of_a_large_fleet_are_judged_in_sum():
+    assert kinds(large()) == []
+    assert kinds(large(cut={("a", "b")})) == [("zone one-way", ("a", "b"))]
+    assert kinds(large(cut={("a", "b"), ("b", "a")})) == [("zone link cut", ("a", "b"))]
+    assert kinds(large(deaf="n7")) == [("one-way", ("n7",))]
+    assert "marker-end" in draw.svg(large(cut={("a", "b")}))
+
+
+def test_connections_are_told_in_sum_from_zone_to_zone():
+    well = fleet(6, servers=4)
+    assert well.flows() == {"a": {"a": 6, "b": 6}, "b": {"a": 6, "b": 6}}
+    assert "connections to a 6, b 6" in draw.svg(well)
+    assert msgspec.json.decode(draw.as_json(well))["connections"]["a"]["b"] == 6
+
+
+def lines(path, *rows):
+    path.write_bytes(b"".join(msgspec.json.encode({"t": t, "proxy": who, "event": event, **told}) + b"\n"
+                              for t, who, event, told in rows))  # fmt: skip
+
+
+def test_a_picture_is_made_of_logs_as_it_was_at_a_moment(tmp_path):
+    def begin(at, name, epoch, zone):
+        return at, name, "fleet", {"epoch": epoch, "voters": ["n0"], "zone": zone, "version": "1"}
+
+    def member(at, name, of, epoch, life):
+        return at, name, "member", {"member": of, "epoch": epoch, "life": life}
+
+    lines(tmp_path / "n0.log", begin(1.0, "n0", 11, "a"), (1.1, "n0", "start", {}),
+          (1.2, "n0", "list", {"version": 3, "whole": True, "rows": ["s0 in service", "s1 draining"]}),
+          member(2.0, "n0", "n1", 21, "alive"), (3.0, "n0", "probe", {"server": "s0", "load": 0.4}),
+          (4.0, "n0", "duty", {"duty": "ledger", "change": "held", "term": 2}),
+          member(9.0, "n0", "n1", 21, "dead"), (9.1, "n0", "duty", {"term": "odd"}))  # fmt: skip
+    lines(tmp_path / "n1.log", begin(1.0, "n1", 21, "b"), (1.1, "n1", "start", {}),
+          member(2.0, "n1", "n0", 11, "alive"), (3.0, "n1", "stalled", {"seconds": 2.5}))  # fmt: skip
+    with (tmp_path / "n1.log").open("ab") as log:
+        log.write(b'{"t": 4, "half\n[]\nnothing\n')
+    paths = sorted(tmp_path.glob("*.log"))
+    early = logs.read(paths, until=5.0)
+    assert kinds(early) == [("stalled", ("n1",))] and early.duties()["ledger"].holder == "n0~11"
+    assert {name: row.zone for name, row in early.members().items()} == {"n0": "a", "n1": "b"}
+    assert early.servers()["s0"].load == 0.4 and early.servers()["s1"].state == "draining"
+    late = logs.read(paths)
+    assert [view.name for view in late.views] == ["n0"] and ("gone", ("n1",)) in kinds(late)
+    out = tmp_path / "fleet.svg"
+    assert commands.main(["draw", "--from", str(tmp_path), "--until", "5", "-o", str(out)]) == 0
+    assert "stalled" in out.read_text()
+    with pytest.raises(logs.LogError, match="expected lines of a proxy's log"):
+        logs.read([out])
+
+
+def test_a_picture_is_made_of_a_run_in_virtual_time_and_changes_nothing_in_it(tmp_path):
+    day = scenario.read("calm")
+    day = msgspec.structs.replace(day, seconds=6.0)
+    plain = runs.text(runs.play(day, 1, "module"))
+    path = tmp_path / "run.oxt"
+    assert runs.text(runs.play(day, 1, "module", picture=(path, 3.0))) == plain
+    held = keep.read(path)
+    assert held.at == 3.0 and kinds(held) == []
+    assert (len(held.views), len(held.servers())) == (day.fleet.proxies, day.fleet.servers)
+    assert sum(sum(row.values()) for row in held.flows().values()) > 0
+    assert commands.main(["draw", "--from", str(path), "-o", str(tmp_path / "run.html")]) == 0
+    with pytest.raises(runs.RunError, match="--picture"):
+        runs.play(day, 1, "two-choices", picture=(path, 3.0))
+
+
+ODD = ["<script>alert(1)</script>", "\u202egnirts", "n" * 200, 'a"b&c', "\x00\x1b[31m", "\u0627\u0644\u0639"]
+
+
+@pytest.mark.parametrize("count", [0, 1, 6, 300, 1000])
+def test_pictures_hold_for_odd_names_and_any_number_of_members(count, tmp_path):
+    snapshot = fleet(count, odd=ODD if count >= 6 else (), servers=min(count, 100))
+    made = draw.svg(snapshot)
+    xml.dom.minidom.parseString(made.encode())
+    page = draw.html(snapshot)
+    assert "<script>alert" not in made + page and "\u202e" not in made + page and "\x1b" not in made + page
+    assert "http://" not in page.replace("http://www.w3.org/2000/svg", "") and "https://" not in page
+    assert len(page) < 300_000 + 1500 * count
+    assert draw.dot(snapshot).startswith("digraph")
+    assert msgspec.json.decode(draw.as_json(snapshot))["troubles"] == []
+    again = keep.unpack(keep.pack(snapshot), "here")
+    assert again == snapshot and draw.svg(again) == made
+
+
+def test_one_more_member_moves_little_and_the_same_fleet_looks_the_same():
+    shifts = []
+    for count in range(290, 310):
+        before, after = draw.scene(fleet(count, zones="abcd")), draw.scene(fleet(count + 1, zones="abcd"))
+        shifts.append(layout.shift(before["spots"], after["spots"], before["width"]))
+    assert sorted(shifts)[len(shifts) // 2] < 0.02 and max(shifts) < 0.05
+
+
+def test_snapshots_are_whole_or_refused_and_a_ring_keeps_the_newest(tmp_path):
+    body = keep.pack(fleet(3))
+    for broken in (b"", body[:40], b"OXTOPO02" + body[8:], body[:-1], b"\x00" * 100):
+        with pytest.raises(keep.SnapshotError) as caught:
+            keep.unpack(broken, "file")
+        assert "\n" not in str(caught.value)
+    newer = msgspec.structs.replace(fleet(1), major=2)
+    with pytest.raises(keep.SnapshotError, match="expected version 1, got 2"):
+        keep.unpack(keep.pack(newer), "file")
+    for number in range(7):
+        keep.record(tmp_path, msgspec.structs.replace(fleet(2), at=1000.0 + number), 4)
+    assert [one.at for one in keep.ring(tmp_path)] == [1003.0, 1004.0, 1005.0, 1006.0]
+    assert commands.main(["replay", str(tmp_path), "-o", str(tmp_path / "course.html")]) == 0
+    assert (tmp_path / "course.html").read_text().count("<svg") == 4
+
+
+def test_differences_are_told_in_words():
+    before = fleet(4)
+    after = seen(fleet(5), ("n0",), n1="suspect")
+    found = compare.differences(before, after)
+    assert "came: member n4 in a" in found and compare.differences(before, before) == []
+    moved = [msgspec.structs.replace(view, duties=[Duty("voters", 4, "n1~1")]) for view in before.views]
+    assert compare.differences(before, msgspec.structs.replace(before, views=moved)) == [
+        "duty voters: n0, now n1, term 4"
+    ]
+
+
+def liar(answer):
+    """A member that answers something else, once: its address."""
+    sock = socket.create_server(("127.0.0.1", 0))
+
+    def run():
+        caller, _ = sock.accept()
+        caller.recv(4096)
+        answer(caller)
+        caller.close()
+        sock.close()
+
+    threading.Thread(target=run, daemon=True).start()
+    return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+def slowly(caller):
+    caller.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n")
+    for _ in range(60):
+        try:
+            caller.sendall(b" ")
+        except OSError:
+            return
+        threading.Event().wait(0.1)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        lambda c: c.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"),
+        lambda c: c.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{"me":7}'),
+        lambda c: c.sendall(b"\xff\x00" * 99),
+        lambda c: None,
+        lambda c: c.sendall(b"HTTP/1.1 404 no\r\nContent-Length: 0\r\n\r\n"),
+        slowly,
+    ],
+)
+def test_a_member_that_answers_rubbish_slowly_or_nothing_is_drawn_as_silent(answer, monkeypatch):
+    monkeypatch.setattr(gather, "PATIENCE", 1.0)
+    found = gather.gather([liar(answer)])
+    assert not found.views and len(found.silent) == 1 and kinds(found) == []
+    xml.dom.minidom.parseString(draw.svg(found).encode())
+
+
+def test_commands_say_in_one_line_what_they_cannot_do(tmp_path, capsys):
+    (tmp_path / "bad.oxt").write_bytes(b"no")
+    for words in (["show"], ["draw", "--from", "nowhere", "-o", "x.txt"], ["diff", "no", "none"],
+                  ["show", "--from", str(tmp_path / "bad.oxt")], ["replay", str(tmp_path / "n"), "-o", "x"],
+                  ["draw", "--from", "127.0.0.1:1", "-o", "/nowhere/x.svg"],
+                  ["show", "--from", "@/no/file"]):  # fmt: skip
+        assert commands.main(words) == 2
+        assert capsys.readouterr().err.count("\n") == 1
+    keep.save(tmp_path / "a.oxt", fleet(5))
+    for kind in ("svg", "html", "png", "dot", "json"):
+        out = tmp_path / f"fleet.{kind}"
+        assert commands.main(["draw", "--from", str(tmp_path / "a.oxt"), "-o", str(out)]) == 0
+        assert out.stat().st_size > 100
+    assert commands.main(["show", "--check", "--from", "127.0.0.1:1"]) == 0  # one that is silent alone
+    assert commands.main(["diff", str(tmp_path / "a.oxt"), str(tmp_path / "a.oxt")]) == 0
+    assert "no difference" in capsys.readouterr().out
+
+
+# real processes
+
+
+def look(rig, wanted, within, but=(), at=None):
+    """Until the picture of those asked names exactly this. at: only these are asked, as from one side."""
+    found = []
+
+    def named():
+        names = [name for name, process in rig.now_by.items() if process.alive and name not in but]
+        asked = [text(rig.now_by[name].management) for name in (at or names)]
+        result = []
+        worker = threading.Thread(target=lambda: result.append(gather.gather(asked)))
+        worker.start()
+        while worker.is_alive():
+            rig.turn()
+        found[:] = [result[0]]
+        kept = [one for one in trouble.find(result[0]) if one.kind != "silent"]
+        return sorted((one.kind, one.who) for one in kept) == sorted(wanted)
+
+    try:
+        rig.wait(named, within, f"named {wanted}")
+    except Exception as error:
+        raise AssertionError(f"{error}; {[one.words for one in trouble.find(found[0])]}") from None
+    return found[0]
+
+
+def test_each_trouble_of_real_processes_is_named_and_no_other(tmp_path, monkeypatch):
+    monkeypatch.setattr(trouble, "STALLED_LATELY", 6.0)
+    with Rig(tmp_path / "rig", members=5, zones=("a", "b"), period=0.25, lease=0.8) as rig:
+        rig.start()
+        rig.wait_members()
+        rig.wait_holder()
+        well = look(rig, [], 15)
+        assert len(well.views) == 5 and len(well.members()) == 5
+        rig.stop("n4")
+        rig.play(1.2)
+        rig.go_on("n4")
+        look(rig, [("stalled", ("n4",))], 10)
+        look(rig, [], 30)
+        rules = rig.cut(["n3"], ["n1"], both=False)
+        look(rig, [("one-way", ("n3", "n1"))], 30)
+        rig.mend(rules)
+        look(rig, [], 30)
+        rules = rig.cut(["n1", "n3"], ["n0", "n2", "n4"])
+        halves = look(rig, [("cut", ("n1", "n3"))], 40)
+        assert {view.name for view in halves.views} == set(rig.names)
+        look(rig, [("gone", ("n0",)), ("gone", ("n2",)), ("gone", ("n4",)), ("no holder", ("ledger",)),
+                   ("no holder", ("voters",))], 30, at=["n1", "n3"])  # fmt: skip
+        rig.mend(rules)
+        rig.wait_members(within=60)
+        look(rig, [], 40)
+        for name in ("n1", "n3"):
+            rig.ask(name, "/out-of-service", "POST", base="/control")
+        look(rig, [("zone draining", ("b",))], 20)
+        for name in ("n1", "n3"):
+            rig.ask(name, "/in-service", "POST", base="/control")
+        look(rig, [], 20)
+        rig.kill("n4")
+        look(rig, [("gone", ("n4",))], 30)
+        folder = tmp_path / "rig"  # the same from what they have written, once all have
+
+        def written():
+            found = logs.read(sorted(folder.glob("*.log")))
+            there = {view.name for view in found.views}
+            named = [one for one in kinds(found) if one[0] != "silent"]
+            return there == {"n0", "n1", "n2", "n3"} and named == [("gone", ("n4",))]
+
+        rig.wait(written, 15, "their logs tell it")
+        rig.trial("n4", version="9.9")
+        rig.start("n4")
+        rig.wait_members(within=40)
+        look(rig, [("versions", ("0.2.0", "9.9"))], 30)
+
+
+def test_a_withdrawn_address_and_a_lost_holder_are_named_on_real_processes(tmp_path):
+    with Sites(tmp_path / "rig") as sites:
+        rig = sites.rig
+        sites.start()
+        sites.wait_standing(a=2, b=2, c=2)
+        look(rig, [], 20)
+        for server in sites.of("a"):
+            server.base = 1.2
+        sites.wait_standing(a=0, b=2, c=2)
+        look(rig, [("withdrawn", ("addr0", "a")), ("withdrawn", ("addr1", "a"))], 20)
+        for server in sites.of("a"):
+            server.base = 0.1
+        sites.wait_standing(a=2, b=2, c=2)
+        holder = rig.wait_holder("announcer/b")
+        other = next(name for name in sites.members("b") if name != holder)
+        rig.kill(holder, other)
+        rig.wait(lambda: rig.there(rig.now_by["n0"]) == 4, 30, "both are held for dead")
+        found = look(rig, [("gone", tuple(one for one in [name])) for name in sorted((holder, other))], 30)
+        assert "announcer/b" in found.duties()
