A silent watch of the list is opened anew at once, and watches end apart

By the logs of all six proxies: watches silent from the first second, given up 8.5 s later (wait of 5 s, then 3.5 s: "list failed", "silence"), then a pause of up to 0.5 s, then answered one by one, 0.33 s apart, up to 11.1 s. What a watch misses counts as told 2 s after its wait.

Ruled out: the module (it stops in the call that tells it), a lost answer (none was sent). Lines at fault, in wire/discovery.py: ANSWER for watches of a service that is well (made for a service busy with many callers), the pause after silence as after a failure, the same wait at all proxies, so that all are opened anew together and queue.

Change: 1 s past the wait a watch is silent where the service has not failed of late, and is opened anew at once; only the second silence is a failure. Each wait is drawn from 0.75 to 1.25 of what it was.

--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -20,6 +20,8 @@
 
 READY = {"active": Readiness.IN_SERVICE, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 ANSWER = 3.5  # seconds for an answer beyond the wait asked for: a busy list works through calls in turn
+PROMPT = 1.0  # the same where it has not been busy of late; 2 s after the wait what it has counts as told
+APART = (0.75, 1.25)  # parts of the wait: watches that began together end, and are opened anew, one by one
 ASK_AGAIN = 0.5  # seconds after a failure where the module leaves the asking to its host
 CALLS = 2.0  # calls a second that the watches of a fleet make together while there is no news
 ANSWERED_AGAIN, LONGEST_SPREAD = 0.2, 5.0  # seconds within which a watch goes on (protocol); at the most
@@ -37,6 +39,10 @@
     """An answer that is not a list of servers."""
 
 
+class SilentError(ListError):
+    """Nothing came in time."""
+
+
 class StatusError(ListError):
     """Another status than 200."""
 
@@ -123,7 +129,7 @@
                         raise ListError("reset")
                     self.speaker.receive_data(b"")
                 elif self.loop.now >= until:
-                    raise ListError("silence")
+                    raise SilentError("silence")
                 else:
                     yield until
             elif isinstance(event, h11.Response):
@@ -153,6 +159,7 @@
         self.pushed = self.asked = pushed  # pushed: the module expects to be told without having asked
         self.spread, self.rng = 0.0, Random(seed)  # seconds over which the next calls are spread
         self.soon = soon  # the first answer is waited for, news or none
+        self.anew = False  # a silent watch was opened anew, and nothing has come yet
         self.rows: dict[str, Any] = {}  # the list as it was told, for a successor
         self.call: Call | None = None
         self.next: Address | None = None  # to be followed from now on
@@ -192,7 +199,7 @@
                 yield math.inf
             # A call is a watch from the first on: one that only asks for news would take a second turn at the
             # service, and would be given up in a queue in which a watch waits its time.
-            while (yield from self.ask_once(0.001 if self.soon or self.next else self.wait)):
+            while (yield from self.ask_once()):
                 # The service has turned calls away of late: all that were told the same news just now would
                 # come again within a millisecond, and most would be turned away once more. Another address
                 # is asked at once.
@@ -207,7 +214,11 @@
                 yield from self.loop.sleep(ASK_AGAIN)
                 self.asked = True
 
-    def ask_once(self, wait: float) -> Generator[float, None, bool]:
+    def ask_once(self) -> Generator[float, None, bool]:
+        wait, late = 0.001, ANSWER
+        if not self.soon and self.next is None:
+            wait = min(LONGEST_WAIT, self.wait * self.rng.uniform(*APART))
+            late = ANSWER if self.spread > ANSWERED_AGAIN else PROMPT
         if self.next is not None:
             # The versions of one service may mean nothing at the other: it is asked for the whole list.
             self.hang_up()
@@ -220,7 +231,7 @@
             if self.call is None or not self.call.reusable:
                 self.hang_up()
                 self.call = Call(self.loop, self.address, self.pool, lambda: self.task.wake())
-            until = self.loop.now + wait + ANSWER
+            until = self.loop.now + wait + late
             body = yield from self.call.get(target, until, lambda: self.next is not None or self.resting)
             told = orjson.loads(body)
             news = read_list(told, self.clock_ahead)
@@ -231,13 +242,19 @@
             if self.resting:
                 return False  # left because the fleet tells the list: no failure
             self.counters.add("list failures")
+            if isinstance(error, SilentError) and not self.anew and self.spread <= ANSWERED_AGAIN:
+                # All watches may have fallen silent at once, the service be well: a drain told meanwhile is
+                # dialled until one is open again. Seen: given up 3.5 s past the wait, with a pause after it.
+                self.anew = True
+                self.log("list silent", version=self.version)
+                return True
             self.spread = min(self.wait / 4, LONGEST_SPREAD)
             self.asked = False  # asked for while the call was out: when to ask again is said anew now
             self.log("list failed", why=str(error)[:200], version=self.version)
             self.version = -1 if isinstance(error, ValueError) else self.version
             self.told(ListKind.FAILED, [])
             return False
-        self.asked = self.soon = False
+        self.asked = self.soon = self.anew = False
         self.take(told["hosts"], news)
         return True
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -140,6 +140,7 @@
         self.log_reader, self.proxy = reader, Proxy(
             self.config, ahead, writer, lambda: self.config, given, handover
         )
+        self.proxy.discovery.rng.uniform = lambda low, high: (low + high) / 2  # watches of the middle length
         self.counts = self.proxy.counters.counts
 
     def row(self, name, health="active", **more):
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -551,6 +551,27 @@
     proxy.until(lambda: proxy.list.asked(2))
 
 
+def test_a_watch_that_falls_silent_is_opened_anew_at_once_before_what_it_missed_counts_as_told(loopback):
+    proxy = loopback(ask_within=0.6)
+    proxy.until(lambda: proxy.list.asked())
+    came = time.monotonic()
+    again = proxy.until(lambda: proxy.list.asked(2), within=2.4)  # of a wait of 0.5 s; told 2 s after it
+    assert time.monotonic() - came > 1.0 and proxy.proxy.facade.balancer.list_failures == 0
+    proxy.until(lambda: again.end or proxy.counts["list failures"] == 2)  # silent once more: that is a failure
+    assert proxy.proxy.facade.balancer.list_failures == 1
+
+
+def test_watches_that_began_together_end_apart(loopback):
+    waits = set()
+    for _ in range(4):
+        proxy = loopback(ask_within=20.0)
+        del proxy.proxy.discovery.rng.uniform
+        proxy.proxy.discovery.rng.seed(len(waits))
+        told = proxy.until(lambda proxy=proxy: proxy.list.asked()).read()
+        waits.add(int(told.split(b"wait=")[1].split()[0]))
+    assert len(waits) == 4 and min(waits) >= 7500 and max(waits) <= 12500
+
+
 def whole(proxy, seq, *rows):
     return json.dumps({"seq": seq, "whole": True, "hosts": [proxy.row(*row) for row in rows]}).encode()
 
