--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -557,7 +557,7 @@
     came = time.monotonic()
     again = proxy.until(lambda: proxy.list.asked(2), within=2.4)  # of a wait of 0.5 s; told 2 s after it
     assert time.monotonic() - came > 1.0 and proxy.proxy.facade.balancer.list_failures == 0
-    proxy.until(lambda: again.end or proxy.counts["list failures"] == 2)  # silent once more: that is a failure
+    proxy.until(lambda: again.end or proxy.counts["list failures"] == 2)  # twice: a failure
     assert proxy.proxy.facade.balancer.list_failures == 1
 
 
