--- a/onyxhollow/lab/sockets/engine.py
+++ b/onyxhollow/lab/sockets/engine.py
@@ -232,7 +232,7 @@
 
     def set_up(self) -> None:
         world = self.world
-        # An entry that comes late on sockets is booked from when it came, not from when it was due: hundreds of
+        # An entry that comes late on sockets is booked from when it came, not when it was due: hundreds of
         # processes on one machine missed one part in ten thousand. It is told, and bounded.
         world.ledger.slack = UNACCOUNTED
         world.start(self)
