--- a/tests/test_fleet_addresses.py
+++ b/tests/test_fleet_addresses.py
@@ -124,8 +124,8 @@
     staying = lambda: [sites.row("addr0", zone)["stays"].startswith(rules) for zone in sites.zones]  # noqa: E731
     rig.wait(lambda: sum(staying()) >= 2, 20, "why they stay is told")
     rig.play(2.0)
-    # The keeper hears of them one after another: the first may go and the next step aside, which is advertised
-    # still, before all are known to be ill. Never more than the one, and the last stays as it was.
+    # The keeper hears of them one after another: the first may go and the next step aside, which is still
+    # advertised, before all are known to be ill. Never more than the one, and the last stays as it was.
     stands = sorted(sites.standing(zone)[0] for zone in sites.zones)
     assert stands[1] >= 1 and stands[2] == 2
     for zone in sites.zones:
