One call to a member's management address serves the rig and its sites

Seen on the last reading: Sites.call wrote again, line for line, how Rig.ask opens the connection, reads it while the rig goes on and parts head from body. Change: Rig.call does that, and both take it; what each makes of the answer stays as it was (text at a no; an id with 202).

--- a/onyxhollow/lab/fleet/rig.py
+++ b/onyxhollow/lab/fleet/rig.py
@@ -470,11 +470,11 @@
     def there(self, process: Process) -> int:
         return self.sees.get(process.title, 1)
 
-    def ask(self, name: str, path: str = "", method: str = "GET", base: str = "/control/fleet") -> Any:
-        """A call to a member's management address, answered while the rig goes on."""
+    def call(self, name: str, target: str, method: str = "GET") -> tuple[bytes, bytes]:
+        """A call to a member's management address, answered while the rig goes on: status line and body."""
         host, port = self.now_by[name].management
         with socket.create_connection((host, port), timeout=2.0) as sock:
-            sock.sendall(f"{method} {base}{path} HTTP/1.1\r\nHost: rig\r\n\r\n".encode())
+            sock.sendall(f"{method} {target} HTTP/1.1\r\nHost: rig\r\n\r\n".encode())
             sock.setblocking(False)
             got = bytearray()
 
@@ -485,9 +485,14 @@
                     return True
                 return False
 
-            self.wait(whole, 3.0, f"{name} answers {path}")
+            self.wait(whole, 3.0, f"{name} answers {target}")
         head, _, body = bytes(got).partition(b"\r\n\r\n")
-        if b" 200 " not in head.split(b"\r\n")[0]:
+        return head.split(b"\r\n")[0], body
+
+    def ask(self, name: str, path: str = "", method: str = "GET", base: str = "/control/fleet") -> Any:
+        """What a member tells; as text if it says no."""
+        status, body = self.call(name, f"{base}{path}", method)
+        if b" 200 " not in status:
             return body.decode()
         return orjson.loads(body) if body[:1] in b"{[" else body.decode()
 
--- a/onyxhollow/lab/fleet/sites.py
+++ b/onyxhollow/lab/fleet/sites.py
@@ -206,23 +206,8 @@
         return self.rig.wait(answer, 8, f"an answer to {path}")
 
     def call(self, name: str, path: str, words: str, method: str = "GET") -> Any:
-        host, port = self.rig.now_by[name].management
-        with socket.create_connection((host, port), timeout=2.0) as sock:
-            target = f"/control/addresses{path}" + (f"?{words}" if words else "")
-            sock.sendall(f"{method} {target} HTTP/1.1\r\nHost: rig\r\n\r\n".encode())
-            sock.setblocking(False)
-            got = bytearray()
-
-            def whole() -> bool:
-                try:
-                    while data := sock.recv(65536):
-                        got.extend(data)
-                except BlockingIOError:
-                    return False
-                return True
-
-            self.rig.wait(whole, 3.0, f"{name} answers {target}")
-        body = bytes(got).partition(b"\r\n\r\n")[2]
+        target = f"/control/addresses{path}" + (f"?{words}" if words else "")
+        _, body = self.rig.call(name, target, method)
         return orjson.loads(body) if body[:1] in b"{[" else {"error": body.decode()}
 
     def row(self, address: str, zone: str, name: str = "") -> dict[str, Any]:
