--- a/onyxhollow/lab/sockets/engine.py
+++ b/onyxhollow/lab/sockets/engine.py
@@ -35,6 +35,8 @@
     0.1,
     0.01,
 )  # a run is void if more than this share of its entries was later than that, seconds
+BUSY = 85.0  # percent of all cores, over a run, past which its processes waited for one another
+UNACCOUNTED = 0.001  # share of what was wanted that a run in real time may leave unaccounted for
 MANY = 40  # proxies past which their membership takes its time: all of them share this machine
 LOOK = 0.05  # seconds between looks at what changed in the world
 MOST_DOORS = 4000  # listening sockets for pairs of proxy and server
@@ -118,10 +120,6 @@
             engine.world.cut(sess, Cause.TORN_DOWN)
 
 
-BUSY = 85.0  # percent of all cores, over a run, past which its processes waited for one another
-UNACCOUNTED = 0.001  # share of what was wanted that a run in real time may leave unaccounted for
-
-
 class Sockets:
     notices_silence = True  # the proxies do, by themselves
 
