A keeper that has just begun says unknown for a site that has told it nothing

Checked: the record shows that the keeper changed in the same seconds (n3 ended, n2 held under term 2). A new keeper's cells begin as withdrawn (addresses/rules.py, Cell.standing) and are set by the first report of a site under its term; a site whose members are all gone never reports. Ruled out: a late picture (asked anew for 30 s), the gate (the story that keeps its keeper passes). Caused on purpose: the keeper released after the site was killed fails each time.

Change: Keeper.view (what operators, picture and commands are told) says unknown until the site has told this keeper what stands; the picture names no trouble for it, the site's members are named as gone. No decision goes by it: those have always left out sites that are not reached.

--- a/onyxhollow/addresses/keeper.py
+++ b/onyxhollow/addresses/keeper.py
@@ -46,6 +46,7 @@
     decide,
 )
 
+UNKNOWN = "unknown"  # for operators: the site has not told this keeper what stands there
 AGAIN = 2  # words to a voter without an answer until a row is sent again
 WHY = 220  # bytes of a reason, and of the evidence, in a decision
 
@@ -202,8 +203,11 @@
         rows = []
         for key, cell in sorted(self.cells.items()):
             stay, order = stays.get(key), orders.get(key, NONE)
+            # A keeper that has just begun may never hear from a site whose members are all gone: what stands
+            # there is not known, which is not the same as withdrawn.
+            standing = cell.standing.name.lower() if key in self.told_of else UNKNOWN
             rows.append({
-                "address": cell.address, "site": cell.site, "standing": cell.standing.name.lower(),
+                "address": cell.address, "site": cell.site, "standing": standing,
                 "cause": cell.cause, "for": round(max(0.0, min(1e9, now - cell.since)), 1),
                 "reached": cell.reached, "carried": cell.carried,
                 "health": None if cell.health is None else round(cell.health, 3), "evidence": cell.reason,
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -301,6 +301,21 @@
     assert cut == "\N{LATIN SMALL LETTER U WITH DIAERESIS}" * 2
 
 
+def test_a_keeper_that_has_just_begun_does_not_call_withdrawn_what_no_site_has_told_it_of():
+    """The members of a site were gone when the keeper changed; the picture named its addresses withdrawn."""
+    told = file.AddressesFile(
+        service=[file.Service(name="x", prefix="198.51.100.1/32")],
+        site=[file.Site(name=site, gate="127.0.0.1:1") for site in "ab"],
+        policy=POLICY,
+    )
+    keeper = Keeper(told, ("v0",), 2, 0.0, 0.0)
+    keeper.heard(Report("a", 2, 1, 1, True, [Row("x", int(A), "", 0.0, 0.0)]), "a0", 1.0, 1.0)
+    shown = {row["site"]: row["standing"] for row in keeper.view(1.0)["rows"]}
+    assert shown == {"a": "advertised", "b": "unknown"}
+    keeper.heard(Report("b", 2, 1, 1, True, [Row("x", int(W), "health", 0.0, 0.0)]), "b0", 2.0, 2.0)
+    assert {row["site"]: row["standing"] for row in keeper.view(2.0)["rows"]}["b"] == "withdrawn"
+
+
 def test_a_gate_whose_members_have_all_fallen_silent_goes_sooner_or_at_all():
     for cut_off, alone, silent, goes in (("withdraw", 4.0, 4.0, True), ("withdraw", 4.0, 2.0, False),
                                          ("withdraw", 2.0, 4.0, False), ("keep", 14.0, 99.0, False),
--- a/tests/test_topology.py
+++ b/tests/test_topology.py
@@ -65,6 +65,8 @@
     out = [msgspec.structs.replace(view, addresses=[Address("x", "a", "withdrawn", "health")])
            for view in well.views[:1]] + well.views[1:]  # fmt: skip
     assert kinds(msgspec.structs.replace(well, views=out)) == [("withdrawn", ("x", "a"))]
+    out[0] = msgspec.structs.replace(out[0], addresses=[Address("x", "a", "unknown", reached=False)])
+    assert kinds(msgspec.structs.replace(well, views=out)) == []
 
 
 def large(cut=(), deaf=""):
@@ -358,5 +360,8 @@
         other = next(name for name in sites.members("b") if name != holder)
         rig.kill(holder, other)
         rig.wait(lambda: rig.there(rig.now_by["n0"]) == 4, 30, "both are held for dead")
+        keeper = rig.wait_holder("addresses", within=40)  # the next one never hears from their site
+        rig.ask(keeper, "/release?name=addresses", "POST")
+        rig.wait_holder("addresses", other_than=keeper, within=40)
         found = look(rig, [("gone", tuple(one for one in [name])) for name in sorted((holder, other))], 30)
         assert "announcer/b" in found.duties()
