--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -481,7 +481,7 @@
     answered = time.monotonic()
     assert proxy.counts["list calls"] == 2  # put off for 0.05 s of the 0.1 s over which the next are spread
     proxy.until(lambda: proxy.counts["list calls"] == 3)
-    # Seen on 200 proxies: up to 5 s. What changes within 0.2 s of an answer counts as told, and was not asked.
+    # On 200 proxies up to 5 s: what changes within 0.2 s of an answer counts as told, and was not asked for.
     assert 0.04 < time.monotonic() - answered < 0.2
     proxy.answer_list(LIST.replace(b"8", b"9"), count=2)
     proxy.until(lambda: proxy.proxy.discovery.version == 9)
