Where no load is told, own share of what customers may hold bounds a server; a drain seen is a drain

Seen: kingston-mona (mass/other), report.how none. Checked: each choice on calm+mass logged: 1,694 of 1,823 go to a group's home, one a zone, whatever the group's size, until it resets connections; load_of is 0 without a report, so no server is ever full; dials go on to servers that send clients away or refuse connections, as the list is late. Ruled out: late lists (none changes on calm), small zones (15 29 35 21 % of connections on 16 26 32 26 % of size), probes (none). At fault: policy.py, load_of(), home(), dial_judged().

Change, where nothing tells a load (blind): load guessed by own connections over own share of the customers' quotas, where that share is one connection or more; one home for all zones; a group new to a server counts thrice; a server that sheds is passed over for 4.5 s. Everywhere: a server that sends a client away, or refuses a connection, is distrusted past the bar at once (score 3). Wire: connections that this proxy ended are not their server's word. Could do harm: a server that sends clients away and stays is left for 3 s each time.

--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -103,8 +103,7 @@
 
     def forget(self) -> None:
         """However its connection ended: the module must not count it among the open ones for ever."""
-        if not self.answered:
-            self.report_gone()
+        self.report_gone()
         if self.dialling:
             self.report(DialEnd.CANCELLED, 0.0, True)
 
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -10,9 +10,8 @@
 2. dial plan: how long a dial may take, and what follows when it fails.
 3. cold budget: this balancer's own share of what all together may send to a cold server.
 4. list watch: asking for the server list again after a failure, before silence counts as told.
-5. probing: a few probes a second for the load servers report; one before a dial where little is known. What a
-   live weight in the list, or the fleet, tells of connections carries them on, and stands for all picks.
-6. overload refusal: no server is filled past its load; what none may take waits, and is then refused.
+5. probing: a few probes a second, one before a dial where little is known; told connections carry loads on.
+6. overload refusal: no server is filled past its load, told or guessed; what none may take waits, is refused.
 """
 
 from __future__ import annotations
@@ -30,7 +29,7 @@
 
 TICK, LIST_CALLS = 0.05, 8.0  # seconds of the one timer; calls a second for a troubled list, of all together
 FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
-FADE, DISTRUSTED = 7.0, 2.0  # seconds in which distrust falls to a third; score that bars a server
+FADE, DISTRUSTED, SURE = 7.0, 2.0, 3.0  # seconds until a third is left; score that bars; of what is certain
 STRAIN_FOR, LOAD_KEPT = 1.5, 8.0  # seconds for which word of overload bars a server; a report is carried on
 FULL_LOAD, SHED_LOAD = 0.65, 0.95  # load over capacity: nothing new from here; from here moved off
 PROBE_POINTS, BRIM_KEPT = 0.002, 0.9  # of the result for probes in calm times; of reports told, each time
@@ -40,8 +39,7 @@
 CHANCE, GROWN = 3.0, 1.5  # own connections a server that are mostly chance; growth that outdates a report
 REPORT_AGE, ASK_FOR = 1.0, 0.1  # seconds: a report good enough to place by; time to answer when asked
 HOMES, GROUPS = 8, 1024  # places on the ring that a group's homes stand at; groups whose demand is counted
-LEAST, MOST = 16, 64  # servers a balancer works with at the least, if there are so many, and at the most
-REVIEW, EXCHANGE = 0.5, 10.0  # seconds from look to look at the working set, and from exchange to exchange
+LEAST, MOST, REVIEW, EXCHANGE = 16, 64, 0.5, 10.0  # servers worked with; seconds between looks, exchanges
 
 
 def draw(*names: Hashable) -> float:
@@ -132,7 +130,7 @@
         self.group, self.give_up, self.load, self.most_dials = group, give_up, load, balancer.most_dials
         self.server: Server | None = None
         self.tried, self.drawn, self.asks = list[Server](), list[Server](), 0
-        self.dialling = self.standing = self.answered = self.placed = self.waited = False
+        self.dialling = self.standing = self.answered = self.placed = self.waited = self.left = False
         self.hold_until, self.news_at, self.may_run_since = (balancer.host.now + give_up) / 2, -math.inf, 0.0
         self.may_run_at: Server | None = None  # the first server on which this session may have run
 
@@ -156,11 +154,10 @@
                 before, server.strained_at = server.strained_at, now
                 self.balancer.blame(server, 0.3)
                 if now - before < STRAIN_FOR:
-                    # A neighbour takes the machine: late for over a second, its connections earn nothing.
                     self.balancer.hand_off(server, f"messages take {delay:.2f} s")
 
     def client_gone(self) -> None:
-        self.answered = True  # nothing is owed any more; a dial still out is called back where allowed
+        self.answered = self.left = True  # nothing is owed; a dial still out is called back where allowed
         if self.dialling and not self.standing and self.balancer.cancelling:
             self.balancer.host.cancel(self.token, len(self.tried) - 1)
 
@@ -241,7 +238,7 @@
         self.ring, self.held = list[tuple[float, int]](), Counter[str]()  # held: own connections by customer
         self.memory, self.due = dict[Hashable, Server](), list[tuple[float, int, Callable[[], None]]]()
         self.counter, self.waiting, self.fill, self.mean, self.bar = 0, list[Session](), 1.0, 0.0, DISTRUSTED
-        self.calm, self.probing, self.setting_up = False, False, Figure()
+        self.calm, self.probing, self.blind, self.setting_up = False, False, False, Figure()
         self.demand, self.largest = dict[Hashable, Rate](), dict[str, float]()  # by group; by kind of machine
         self.brims = dict[str, tuple[float, float]]()  # a kind's connections a core and load, summed, fading
         self.budget = ColdBudget(host.now)
@@ -335,7 +332,8 @@
         known = [s for s in self.working if not s.arrival and now - s.load_at < LOAD_KEPT]
         load = sum(s.size * s.load for s in known) / sum(s.size for s in known) if known else 1.0
         fill = self.size * self.mean / max(0.25, load) or self.budget.rate(now) * self.budget.time
-        self.fill = max((self.sparse and self.quota) or fill, 1.0) / self.size
+        self.blind = self.quota > 0 and not (self.probes or self.live_sizes or known)  # no load is told
+        self.fill = max(((self.sparse or self.blind) and self.quota) or fill, 1.0) / self.size
 
     def draw_working(self) -> None:
         """Servers drawn at random from the fleet, as many as reports and own connections tell something of;
@@ -359,8 +357,9 @@
 
     def well(self, server: Server, sess: Session | None = None) -> bool:
         now = self.host.now
-        return (server.readiness is Readiness.IN_SERVICE and now - server.strained_at >= STRAIN_FOR
-                and self.load_of(server) < FULL_LOAD and server.score(now) <= self.bar
+        return (server.readiness is Readiness.IN_SERVICE and self.load_of(server) < FULL_LOAD
+                and now - server.strained_at >= STRAIN_FOR * (3 if self.blind else 1)  # nobody says: over
+                and server.score(now) <= self.bar
                 and not (sess and (server.leaving or not sess.may_go_to(server, now))))  # fmt: skip
 
     def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
@@ -424,8 +423,7 @@
             server.take_size(entry.size or 1.0, 1.0)
         if not joined and (entry.started == before or not self.budget.cold(server, now)):
             return
-        # A returner starts anew: what was known of it before its restart says nothing.
-        server.leaving, server.distrust, share = None, 0.0, self.mean * server.size
+        server.leaving, server.distrust, share = None, 0.0, self.mean * server.size  # it starts anew
         self.budget.tokens[server] = ((self.budget.phase + draw(server.name)) % 1.0, now)
         server.arrival = Pace(int(share + self.rng.random()))  # of many balancers as many as the share says
         why = "cold" if self.budget.cold(server, now) else "back"
@@ -446,8 +444,9 @@
             # Connections of all balancers, told of all servers: they carry a report on, or stand for it.
             load, held = (server.load, server.load_held) if known else (0.0, 0.0)
             return max(0.0, load + (server.held - held) * brim[1] / brim[0])
-        more = 0 if self.sparse else len(server.connections) - server.load_count
-        return server.load + more / (self.fill * server.size) if known else 0.0
+        own, full = len(server.connections), self.fill * server.size
+        guess = own / full if self.blind and full >= 1.0 else 0.0  # by own part of what it bears
+        return server.load + (0 if self.sparse else own - server.load_count) / full if known else guess
 
     def latency(self, servers: list[Server]) -> float | None:
         figures = [figure for s in servers if (figure := s.latency(self.host.now)) is not None]
@@ -506,7 +505,7 @@
             own = self.load_of(server) * fill * server.size
         shared = self.share_groups and group is not None and server is not home
         if shared and all(sess.group != group for sess in server.connections):
-            own += GROUP_COST * (fill * server.size + CHANCE)
+            own += GROUP_COST * (fill * server.size + CHANCE) * (3 if self.blind else 1)  # no report shows it
         far = FAR if self.sparse and server not in (home, *self.near) else 1.0  # a crossing, or still cold
         return (own + 1.0) / server.size * (1.0 + server.score(self.host.now)) * far
 
@@ -520,7 +519,7 @@
         # Arriving ones too, at their pace: the groups of servers replaced at once would fill those left over.
         fit = self.open_to((self.fleet[self.ring[(at + step) % len(self.ring)][1]] for step in steps), sess)
         first = next(fit, None)
-        if first is None or not self.calm:
+        if first is None or not self.calm or self.blind:  # a home for each zone takes room that nobody sees
             return first
         return next((s for s in (first, *fit) if s.zone == self.zone and self.load_of(s) < NEAR_LOAD), first)
 
@@ -537,12 +536,11 @@
             pool = self.rng.sample(self.near, min(4, len(self.near))) + self.rng.sample(pool, LEAST // 2)
         pool = list(self.open_to(pool, sess))
         pool = [s for s in pool if s not in sess.tried] or pool
-        arriving = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
-        rest = [s for s in pool if s not in arriving]
+        new = [s for s in pool if s.arrival and s.arrival.moved < s.arrival.count]
+        rest = [s for s in pool if s not in new]
         sess.drawn = list(self.open_to(sess.drawn, sess)) or self.draw_from(rest)
         homes = self.open_to([home], sess) if home and home not in sess.tried else ()
-        candidates = (*homes, *arriving, *sess.drawn)
-        return min(candidates, key=lambda s: self.weight(s, sess.group, home), default=None)
+        return min((*homes, *new, *sess.drawn), key=lambda s: self.weight(s, sess.group, home), default=None)
 
     def draw_from(self, rest: list[Server]) -> list[Server]:
         """Two random ones; where own connections are few, and tell less than a zone, two near and one."""
@@ -641,7 +639,8 @@
             self.hand_off(server, f"load {load:.2f}")  # overfull: all messages are late until some are moved
 
     def dial_judged(self, sess: Session, server: Server, end: DialEnd, took: float) -> None:
-        if end in (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT):
+        away = end is DialEnd.CANCELLED and sess.standing and not sess.left  # it drains, told or not yet
+        if end in (DialEnd.OK, DialEnd.CANCELLED, DialEnd.NOT_SENT) and not away:
             return
         if not sess.standing:
             server.set_up.add(max(took, sess.listener.handshake_target), self.host.now)
@@ -649,7 +648,8 @@
                 self.setting_up.add(took, self.host.now)
         if end is DialEnd.FULL or sess.standing and end is DialEnd.RESET:
             server.strained_at = self.host.now  # it sheds: refilled at once it would drop them again
-        self.blame(server, 0.3 if sess.standing else 0.5 if end is DialEnd.FULL else 1.0)
+        sure = away or end is DialEnd.CONNECT_FAILED and took < TICK  # sent away, or nobody there: seen once
+        self.blame(server, SURE if sure else 0.3 if sess.standing else 0.5 if end is DialEnd.FULL else 1.0)
 
     def blame(self, server: Server, amount: float) -> None:
         server.distrust, server.distrust_at = (score := server.score(self.host.now) + amount), self.host.now
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -578,6 +578,8 @@
         if self.server:
             self.server.finish()
         self.end = why
+        if end is DialEnd.CANCELLED:
+            handle.report_gone()  # ended by this proxy, not by its server: it says nothing of that
         handle.report(end, self.loop.now - started, True)
 
     def finish_with(self, handle: Handle, end: DialEnd, started: float) -> None:
