--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -742,3 +742,73 @@
     host.loads(a=0.1)
     host.wait(2.0)
     assert balancer.well(balancer.servers["a"])
+
+
+def test_a_server_that_sends_a_client_away_or_refuses_a_connection_is_left_at_once(host, lost):
+    """The list was late: clients went from one server that drained to the next, and to ports that were shut."""
+    servers = host.servers("a", "b", "c")
+    sess = host.take()
+    away = sess.server
+    sess.dial_ended(DialEnd.CANCELLED, True, 20.0)
+    assert not host.balancer.well(away)
+    assert {host.take().server for _ in range(20)} == {*servers} - {away}
+    host.wait(4.0)  # no verdict for good
+    assert host.balancer.well(away)
+    host.wait(40.0)
+    lost(host.take(stands=False), DialEnd.CONNECT_FAILED)  # 0.1 s: it may only be slow
+    assert all(host.balancer.well(server) for server in servers)
+    sess = host.take(stands=False)
+    shut = sess.server
+    sess.dial_ended(DialEnd.CONNECT_FAILED, False, 0.001)
+    assert not host.balancer.well(shut) and sess.server is not shut
+
+
+def test_a_client_that_leaves_or_is_moved_from_here_says_nothing_of_its_server(host):
+    host.servers("a")
+    left, moved = host.take(), host.take()
+    left.client_gone()
+    left.dial_ended(DialEnd.CANCELLED, True, 20.0)
+    moved.server.strained_at = host.now
+    host.balancer.hand_off(moved.server, "a story")
+    assert host.asked("move")
+    moved.dial_ended(DialEnd.CANCELLED, True, 20.0)
+    assert moved.server.score(host.now) == 0.0
+
+
+def blind(start, **changes):
+    """Four balancers, four servers of size 4; customers may hold 320 connections: own 20 fill a server."""
+    told = {"customers": {"acme": Customer("acme", 1.0, 320.0)}, "balancers": 4}
+    host = start(**(told | changes))
+    return host, host.servers(*"abcd", size=4.0)
+
+
+def test_where_no_load_is_told_own_part_of_what_customers_may_hold_bounds_a_server(start):
+    """On 200 proxies without reports a group's home was filled until it threw its connections out."""
+    host, servers = blind(start, retry_after=1.0)
+    for _ in range(200):
+        host.take()
+        host.balancer.look()
+    counts = placed(host)
+    assert set(counts.values()) == {13} and len(counts) == 4  # 0.65 of 20 each, and nothing past it
+    host.wait(3.0)
+    assert len(host.asked("refuse")) == 200 - 52
+    host.loads(a=0.1)  # the first report that is heard ends the guessing
+    host.balancer.look()
+    assert not host.balancer.blind and host.balancer.well(servers[0])
+
+
+def test_where_no_load_is_told_a_group_has_one_home_for_all_zones_and_a_shedding_server_rests_longer(start):
+    homes = set()
+    for zone in ("north", "south"):
+        host, _ = blind(start, groups=True, zone=zone, crossing_price=0.1)
+        for name in "abcd":
+            host.servers(name, kind=ListKind.CHANGES, zone="north" if name in "ab" else "south", size=4.0)
+        host.balancer.look()
+        homes.add(host.take(group="g7").server.name)
+    assert len(homes) == 1
+    server = host.balancer.servers[homes.pop()]
+    server.strained_at = host.now
+    host.wait(4.0)
+    assert not host.balancer.well(server)
+    host.wait(1.0)
+    assert host.balancer.well(server)
