--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -745,7 +745,7 @@
 
 
 def test_a_server_that_sends_a_client_away_or_refuses_connections_is_left_at_once(host, lost):
-    """The list was late: clients went from one server that drained to the next, and to ports that were shut."""
+    """The list was late: clients went from one draining server to the next, and to ports that were shut."""
     servers = host.servers("a", "b", "c")
     sess = host.take()
     away = sess.server
