The simulator's word for a withdrawn connection is no word of its server

The module reads such an end as a server that sends clients away; on sockets MOVE tells it apart, on this wire nothing does. One short test, fails without it. On sockets nothing changes: run does not load the link.

--- a/onyxhollow/benchlink/link.py
+++ b/onyxhollow/benchlink/link.py
@@ -172,6 +172,8 @@
             del self.sessions[corr]
         end = ENDS.get(whole(how, "how"), DialEnd.UNKNOWN)
         load = self.report(rest[2] if len(rest) > 2 else None)
+        if end is DialEnd.CANCELLED and sess.standing:
+            sess.client_gone()  # this wire does not say whether its server sent it away or the client left
         sess.dial_ended(end, complete, whole(took, "tookNs") / 1e9, load)
 
     def cancelledByClient(self, corr: Any, *_: Any) -> None:  # noqa: N802 - the wire's own word
