--- a/onyxhollow/lab/sockets/engine.py
+++ b/onyxhollow/lab/sockets/engine.py
@@ -426,7 +426,6 @@
         self.proxies[number].start(
             self.seed * 1009 + number + 500 * self.proxies[number].lives, self.known(number)
         )
-
         self.knock(number, self.proxies[number].lives)
 
     def knock(self, number: int, life: int, before: Lines | None = None) -> None:
