--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 	$(VENV)/bin/python -m pytest -q -n $(WORKERS) --dist worksteal
 
 lint: $(READY)
+	$(VENV)/bin/ruff format --check onyxhollow tests benchmarks
 	$(VENV)/bin/ruff check onyxhollow tests benchmarks
 	$(VENV)/bin/mypy
 	$(VENV)/bin/lint-imports
--- a/benchmarks/addresses.py
+++ b/benchmarks/addresses.py
@@ -59,12 +59,23 @@
         # A site bears three times the sessions that it has of the partners near it: two that fail at once
         # fit beside those of a third, all but.
         usual = told.partners * told.addresses / told.sites
-        self.sites = Sites(folder, sites=told.sites, each=told.each, addresses=told.addresses, servers=1,
-                           capacity=3.0 * usual, policy=policy, cut_off=cut_off, own_servers=True,
-                           each_load=0.5 / (3.0 * usual),
-                           orphaned_after=min(FOR_EVER, orphaned_after * told.slower),
-                           partners=told.partners, slower=told.slower, period=0.4 * told.slower,
-                           lease=told.slower)  # fmt: skip
+        self.sites = Sites(
+            folder,
+            sites=told.sites,
+            each=told.each,
+            addresses=told.addresses,
+            servers=1,
+            capacity=3.0 * usual,
+            policy=policy,
+            cut_off=cut_off,
+            own_servers=True,
+            each_load=0.5 / (3.0 * usual),
+            orphaned_after=min(FOR_EVER, orphaned_after * told.slower),
+            partners=told.partners,
+            slower=told.slower,
+            period=0.4 * told.slower,
+            lease=told.slower,
+        )
         self.each = self.sites.echo[0].each
         self.served: dict[str, list[float]] = {}
         self.gone: list[float] = []  # seconds from loss to the speaker's withdrawal
@@ -128,8 +139,12 @@
             out = [change.at for change in changes if change.at >= began and not change.state]
             if out:
                 self.gone.append(max(out[: self.told.addresses]) - began)
-                moves = [at for one in sites.internet.partners for at, to in one.moves
-                         if at >= began and to != zone]  # fmt: skip
+                moves = [
+                    at
+                    for one in sites.internet.partners
+                    for at, to in one.moves
+                    if at >= began and to != zone
+                ]
                 self.moved.append(max(moves, default=began) - began)
             else:
                 self.notes.append(f"{name} at {zone}: not withdrawn within {span * self.slower:g} s")
@@ -155,17 +170,19 @@
 
         kinds: dict[str, Callable[[int], None]] = {
             "site stopped": lambda n: self.case("site stopped", zones[n], lambda: stopped(zones[n]), True),
-            "site killed": lambda n: self.case("site killed", zones[n + 1],
-                                               lambda: rig.kill(*sites.members(zones[n + 1])), True, 10.0),
+            "site killed": lambda n: self.case(
+                "site killed", zones[n + 1], lambda: rig.kill(*sites.members(zones[n + 1])), True, 10.0
+            ),
             "servers full": lambda n: self.case("servers full", zones[n], lambda: self.fill(zones[n]), False),
             "all look ill": lambda n: self.case("all look ill", "", lambda: self.fill(*zones), False, 5.0),
-            "half the sites full": lambda n: self.case("half the sites full", "",
-                                                       lambda: self.fill(*zones[: len(zones) // 2]), False),
+            "half the sites full": lambda n: self.case(
+                "half the sites full", "", lambda: self.fill(*zones[: len(zones) // 2]), False
+            ),
             "a wave": lambda n: self.wave(),
             "flapping": lambda n: self.flap("flapping", lambda: stopped(zones[n]), zones[n]),
             "servers flap": lambda n: self.flap("servers flap", lambda: self.fill(zones[n]), zones[n]),
             "short troubles": lambda n: self.service_in_short(),
-        }  # fmt: skip
+        }
         for name, play in kinds.items():
             if self.told.cases and name not in self.told.cases:
                 continue
@@ -283,11 +300,16 @@
 
     def over_budget(self) -> int:
         """Windows in which more sites were withdrawn for health than the policy says."""
-        rows = [(row["at"], row["site"]) for row in self.sites.decided()
-                if row["standing"] == "withdrawn" and row["cause"] == "health"]  # fmt: skip
+        rows = [
+            (row["at"], row["site"])
+            for row in self.sites.decided()
+            if row["standing"] == "withdrawn" and row["cause"] == "health"
+        ]
         window, most = self.sites.told["policy"]["window"], self.sites.told["policy"]["most_at_once"]
-        return sum(len({site for at, site in rows if begin <= at < begin + 0.95 * window}) > most
-                   for begin, _ in rows)  # fmt: skip
+        return sum(
+            len({site for at, site in rows if begin <= at < begin + 0.95 * window}) > most
+            for begin, _ in rows
+        )
 
 
 def main() -> None:
@@ -319,14 +341,29 @@
                 crashes = list(run.sites.rig.crashes)
                 run.sites.close()
             run.budget = over
-            print(way, {case: round(statistics.fmean(rows), 4) for case, rows in run.served.items()},
-                  "gone", [round(x, 2) for x in run.gone], "moved", [round(x, 2) for x in run.moved], "least",
-                  run.least, "false", run.false, "stale", stale, run.notes, crashes, flush=True)  # fmt: skip
+            print(
+                way,
+                {case: round(statistics.fmean(rows), 4) for case, rows in run.served.items()},
+                "gone",
+                [round(x, 2) for x in run.gone],
+                "moved",
+                [round(x, 2) for x in run.moved],
+                "least",
+                run.least,
+                "false",
+                run.false,
+                "stale",
+                stale,
+                run.notes,
+                crashes,
+                flush=True,
+            )
             if way == "ours":
                 ours_stale, ours_crashes = stale, crashes
     ours = runs["ours"]
-    case_means = {way: {case: statistics.fmean(rows) for case, rows in run.served.items()}
-                  for way, run in runs.items()}  # fmt: skip
+    case_means = {
+        way: {case: statistics.fmean(rows) for case, rows in run.served.items()} for way, run in runs.items()
+    }
     found = {name: wander.found(name, range(400)) for name in wander.BUGS}
     every = 23 if told.quick else 1
     with ProcessPoolExecutor(mp_context=multiprocessing.get_context("spawn")) as pool:
@@ -344,14 +381,19 @@
         "budget_exceeded": ours.budget,
         "healthy_gaps": len(ours.notes),
         "service": {way: round(statistics.fmean(rows.values()), 4) for way, rows in case_means.items()},
-        "service_vs_always": round(statistics.fmean(case_means["ours"].values())
-                                   - statistics.fmean(case_means["at once"].values()), 4),
-        "service_vs_never": round(statistics.fmean(case_means["ours"].values())
-                                  - statistics.fmean(case_means["never"].values()), 4),
-        "worst_case_vs_always": round(min(case_means["ours"][case] - case_means["at once"][case]
-                                          for case in case_means["ours"]), 4),
-        "worst_case_vs_never": round(min(case_means["ours"][case] - case_means["never"][case]
-                                         for case in case_means["ours"]), 4),
+        "service_vs_always": round(
+            statistics.fmean(case_means["ours"].values()) - statistics.fmean(case_means["at once"].values()),
+            4,
+        ),
+        "service_vs_never": round(
+            statistics.fmean(case_means["ours"].values()) - statistics.fmean(case_means["never"].values()), 4
+        ),
+        "worst_case_vs_always": round(
+            min(case_means["ours"][case] - case_means["at once"][case] for case in case_means["ours"]), 4
+        ),
+        "worst_case_vs_never": round(
+            min(case_means["ours"][case] - case_means["never"][case] for case in case_means["ours"]), 4
+        ),
         "orders_lost": ours.lost_orders,
         "crashes": len(ours_crashes),
         "processes": told.sites * told.each,
@@ -362,7 +404,7 @@
         "seeded_bugs": len(found),
         "seeded_bugs_found": sum(bool(one) for one in found.values()),
         "seconds": round(time.monotonic() - began, 1),
-    }  # fmt: skip
+    }
     if told.out:
         told.out.write_text(json.dumps(result))
     print(json.dumps(result))
--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -46,8 +46,15 @@
     def __init__(self, folder: Path, members: int, seed: int) -> None:
         period = 0.4 if members <= 20 else 1.0
         zones = ("a", "b") if members >= 20 else ("a",)
-        self.rig = Rig(folder, members=members, zones=zones, lease=LEASE, period=period, seed=seed,
-                       voters=5 if members >= 20 else 3)  # fmt: skip
+        self.rig = Rig(
+            folder,
+            members=members,
+            zones=zones,
+            lease=LEASE,
+            period=period,
+            seed=seed,
+            voters=5 if members >= 20 else 3,
+        )
         self.rng = Random(seed)
         self.gaps: dict[str, list[float]] = {kind: [] for kind in KINDS}
         self.notes: list[str] = []
@@ -121,10 +128,21 @@
 
 def costs(folder: Path, members: int, fleet: bool, seconds: float) -> dict[str, float]:
     """Of a quiet fleet with the duty of the list: per member and second."""
-    duties = [{"name": "ledger", "work": "call", "every": 0.5},
-              {"name": "list", "work": "list", "per": "zone", "every": 1.0}]  # fmt: skip
-    rig = Rig(folder, members=members, zones=("a", "b"), lease=3.0, period=1.0, duties=duties, fleet=fleet,
-              voters=5 if members >= 5 else 3, ask_within=8.0)  # fmt: skip
+    duties = [
+        {"name": "ledger", "work": "call", "every": 0.5},
+        {"name": "list", "work": "list", "per": "zone", "every": 1.0},
+    ]
+    rig = Rig(
+        folder,
+        members=members,
+        zones=("a", "b"),
+        lease=3.0,
+        period=1.0,
+        duties=duties,
+        fleet=fleet,
+        voters=5 if members >= 5 else 3,
+        ask_within=8.0,
+    )
     try:
         rig.start()
         if fleet:
@@ -164,8 +182,11 @@
     broken_rules, told = 0, []
     for name in ("deploy",) if quick else ("deploy", "list-down"):
         day = scenario.read(name)
-        day = replace(day, seconds=min(day.seconds, 30.0),
-                      fleet=replace(day.fleet, servers=12, proxies=6, zones=day.fleet.zones[:2]))  # fmt: skip
+        day = replace(
+            day,
+            seconds=min(day.seconds, 30.0),
+            fleet=replace(day.fleet, servers=12, proxies=6, zones=day.fleet.zones[:2]),
+        )
         (folder / name).mkdir()
         engine = Sockets(day, 1, folder / name, in_fleet=True)
         world = engine.run()
@@ -173,8 +194,10 @@
         count = sum(rules["broken"].values())  # type: ignore[attr-defined]
         broken_rules += count + len(engine.findings()["crashes"])
         rests = sum("list rests" in (folder / name / f"n{n}.log").read_text() for n in range(6))
-        told.append(f"day {name}: rules broken {count}, proxies that were told the list {rests} of 6, "
-                    f"void {engine.findings()['void'] or 'no'}")  # fmt: skip
+        told.append(
+            f"day {name}: rules broken {count}, proxies that were told the list {rests} of 6, "
+            f"void {engine.findings()['void'] or 'no'}"
+        )
     return broken_rules, told
 
 
@@ -212,13 +235,17 @@
         crashes += run.rig.crashes
         notes += run.notes
         count = sum(map(len, run.gaps.values()))
-        say(f"{members} processes, {count} faults, {time.monotonic() - began:.0f} s; "
+        say(
+            f"{members} processes, {count} faults, {time.monotonic() - began:.0f} s; "
             f"overlaps {len(verdict.overlaps)}, late acts {len(verdict.late)}, stale {len(verdict.stale)}, "
-            f"falling terms {len(verdict.falling)}")  # fmt: skip
+            f"falling terms {len(verdict.falling)}"
+        )
         for kind, rows in run.gaps.items():
             if rows:
-                say(f"  {kind:8} n {len(rows):3}  median {statistics.median(rows) / LEASE:.3f}  "
-                    f"p99 {percentile(rows, 0.99) / LEASE:.3f}  worst {max(rows) / LEASE:.3f}")  # fmt: skip
+                say(
+                    f"  {kind:8} n {len(rows):3}  median {statistics.median(rows) / LEASE:.3f}  "
+                    f"p99 {percentile(rows, 0.99) / LEASE:.3f}  worst {max(rows) / LEASE:.3f}"
+                )
         for row in (
             verdict.overlaps + verdict.late + verdict.stale + verdict.falling + run.rig.crashes + run.notes
         )[:5]:
@@ -229,16 +256,21 @@
         row = cost[f"{members}{'' if fleet else ' off'}"] = costs(
             folder / f"cost{members}{fleet}", members, fleet, 10.0
         )
-        say(f"{members} members, fleet {'on' if fleet else 'off'}: "
-            + ", ".join(f"{name} {value:.3g}" for name, value in row.items()))  # fmt: skip
+        say(
+            f"{members} members, fleet {'on' if fleet else 'off'}: "
+            + ", ".join(f"{name} {value:.3g}" for name, value in row.items())
+        )
     by_rig = {name: found(name, folder / f"bug-{name}") for name in broken.BUGS}
     plans = [
         (1, 14, "apart", "", 1, 60.0),
         (1, 14, "even", "", 1, 60.0),
         (3, 12, "apart", "restarts", 1, 120.0),
     ]
-    plans += [(2, 14, rates, "", seed, 40.0 if told.quick else 75.0) for rates in explore.RATES
-              for seed in ((1,) if told.quick else (1, 2))]  # fmt: skip
+    plans += [
+        (2, 14, rates, "", seed, 40.0 if told.quick else 75.0)
+        for rates in explore.RATES
+        for seed in ((1,) if told.quick else (1, 2))
+    ]
     plans += (
         [] if told.quick else [(3, 14, rates, "", seed, 75.0) for rates in explore.RATES for seed in (3, 4)]
     )
@@ -250,8 +282,10 @@
         for title, done in pool.map(explored, plans):
             states += done.states
             explorer_found += [done.found] if done.found else []
-            say(f"explored {title}: {done.states} states, {done.steps} steps, {done.seconds:.0f} s, "
-                f"{'whole' if done.whole else 'cut off'} {done.found and 'FOUND ' + done.found}")  # fmt: skip
+            say(
+                f"explored {title}: {done.states} states, {done.steps} steps, {done.seconds:.0f} s, "
+                f"{'whole' if done.whole else 'cut off'} {done.found and 'FOUND ' + done.found}"
+            )
     by_explorer = {}
     for name in broken.BUGS:
         with explore.bug(name):
--- a/benchmarks/replace.py
+++ b/benchmarks/replace.py
@@ -142,8 +142,10 @@
         for door in self.doors:
             door.setblocking(False)
             self.selector.register(door, selectors.EVENT_READ, lambda d=door: Serving(self, d.accept()[0]))
-        hosts = [{"host": f"s{number}", "dial": f"127.0.0.1:{door.getsockname()[1]}", "health": "active"}
-                 for number, door in enumerate(self.doors)]  # fmt: skip
+        hosts = [
+            {"host": f"s{number}", "dial": f"127.0.0.1:{door.getsockname()[1]}", "health": "active"}
+            for number, door in enumerate(self.doors)
+        ]
         self.known = {"seq": 1, "whole": True, "hosts": hosts}
         self.list = serve_list(self.known)
         self.next_new = time.monotonic()
@@ -177,13 +179,20 @@
         config["limits"]["sockets"] = 8192
         path = self.folder / f"{number}.json"
         path.write_text(json.dumps(config))
-        own = {"LB_LISTEN_FD": str(self.listener.fileno()), "LB_MANAGEMENT": f"127.0.0.1:{port}",
-               "TMPDIR": str(self.folder)}  # fmt: skip
+        own = {
+            "LB_LISTEN_FD": str(self.listener.fileno()),
+            "LB_MANAGEMENT": f"127.0.0.1:{port}",
+            "TMPDIR": str(self.folder),
+        }
         with (self.folder / "log").open("ab") as log:
             child = subprocess.Popen(
-                [sys.executable, "-O", "-m", "onyxhollow", "serve", "--config", str(path)], cwd=ROOT,
-                env={**os.environ, **own}, pass_fds=[self.listener.fileno()], stdout=log, stderr=log,
-            )  # fmt: skip
+                [sys.executable, "-O", "-m", "onyxhollow", "serve", "--config", str(path)],
+                cwd=ROOT,
+                env={**os.environ, **own},
+                pass_fds=[self.listener.fileno()],
+                stdout=log,
+                stderr=log,
+            )
         return child, port
 
     def ready(self, child: subprocess.Popen[bytes], port: int) -> bool:
@@ -204,8 +213,13 @@
         def do_GET(self) -> None:  # noqa: N802
             if "index" in self.path:
                 time.sleep(min(1.0, int(self.path.rpartition("=")[2]) / 1000))
-            body = json.dumps({**told, "whole": "index" not in self.path,
-                               "hosts": [] if "index" in self.path else told["hosts"]}).encode()  # fmt: skip
+            body = json.dumps(
+                {
+                    **told,
+                    "whole": "index" not in self.path,
+                    "hosts": [] if "index" in self.path else told["hosts"],
+                }
+            ).encode()
             self.send_response(200)
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
@@ -262,15 +276,22 @@
         bench.list.shutdown()
     pauses = sorted(bench.pauses)
     return {
-        "connections": connections, "replacements": replacements, "lines": bench.lines,
-        "lines_wrong": bench.wrong, "clients_moved": bench.moved, "connections_lost": lost,
-        "successors_killed": killed, "cut_with_them": by_kills,
-        "cut_at_the_door": bench.cut - by_kills, "new_clients": bench.opened - connections,
+        "connections": connections,
+        "replacements": replacements,
+        "lines": bench.lines,
+        "lines_wrong": bench.wrong,
+        "clients_moved": bench.moved,
+        "connections_lost": lost,
+        "successors_killed": killed,
+        "cut_with_them": by_kills,
+        "cut_at_the_door": bench.cut - by_kills,
+        "new_clients": bench.opened - connections,
         "ready_s": [round(min(ready), 2), round(max(ready), 2)],
-        "old_ended_s_max": round(max(ended), 2), "pause_ms_max": round(pauses[-1] * 1000, 1),
+        "old_ended_s_max": round(max(ended), 2),
+        "pause_ms_max": round(pauses[-1] * 1000, 1),
         "pause_ms_p99": round(pauses[len(pauses) * 99 // 100] * 1000, 1),
         "plain_ms_p99": round(plain[len(plain) * 99 // 100] * 1000, 1),
-    }  # fmt: skip
+    }
 
 
 def main() -> int:
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -45,9 +45,12 @@
     ("lying", [{"kind": "lying_reports", "at": 6.0, "lasts": 14.0, "part": 0.05}], {}),
     ("hung", [{"kind": "hung", "at": 6.0, "lasts": 10.0, "part": 0.05}], {}),
     ("mass-kill", [{"kind": "proxy_crash", "at": 8.0, "lasts": 4.0, "part": 0.5}], {}),
-    ("one-large", [], {"kinds": [{"name": "plain", "share": 0.95}, {"name": "large", "share": 0.05,
-                                                                    "cores": 40.0}]}),
-]  # fmt: skip
+    (
+        "one-large",
+        [],
+        {"kinds": [{"name": "plain", "share": 0.95}, {"name": "large", "share": 0.05, "cores": 40.0}]},
+    ),
+]
 
 
 def day(title: str, size: tuple[int, int], seconds: float) -> scenario.Scenario:
@@ -72,9 +75,12 @@
     engine = Virtual(day(title, size, seconds), seed, decisions.find(policy), terms, trouble)
     world = engine.run()
     figures, verdict = world.ledger.figures(), world.referee.verdict()
-    return {"figure": figures["figure"] if verdict["clean"] else 0.0,
-            "probes": figures["counts"].get("probes", 0), "broken": len(verdict["broken"]),
-            **figures["evenness"]}  # fmt: skip
+    return {
+        "figure": figures["figure"] if verdict["clean"] else 0.0,
+        "probes": figures["counts"].get("probes", 0),
+        "broken": len(verdict["broken"]),
+        **figures["evenness"],
+    }
 
 
 def processes(title: str, size: tuple[int, int], seconds: float, together: bool) -> dict[str, Any]:
@@ -91,26 +97,44 @@
             return {"day": title, "together": together, "void": str(error), "broken": {}}
         found, figures = engine.findings(), world.ledger.figures()
     verdict = world.referee.verdict()
-    return {"day": title, "together": together, "figure": round(figures["figure"], 4),
-            "probes": figures["counts"].get("probes", 0), "unaccounted": figures["unaccounted"],
-            "cores_busy": found["cores_busy"], "first_broken": verdict["first"][:3],
-            "void": found["void"], "crashes": found["crashes"],
-            "broken": verdict["broken"], **figures["evenness"]}  # fmt: skip
+    return {
+        "day": title,
+        "together": together,
+        "figure": round(figures["figure"], 4),
+        "probes": figures["counts"].get("probes", 0),
+        "unaccounted": figures["unaccounted"],
+        "cores_busy": found["cores_busy"],
+        "first_broken": verdict["first"][:3],
+        "void": found["void"],
+        "crashes": found["crashes"],
+        "broken": verdict["broken"],
+        **figures["evenness"],
+    }
 
 
 def mean(rows: list[dict[str, Any]], key: str) -> float:
     return statistics.fmean(row[key] for row in rows)
 
 
-def in_virtual_time(told: argparse.Namespace, sizes: list[tuple[int, int]], seconds: float,
-                    seeds: int) -> dict[str, Any]:  # fmt: skip
+def in_virtual_time(
+    told: argparse.Namespace, sizes: list[tuple[int, int]], seconds: float, seeds: int
+) -> dict[str, Any]:
     """All scenarios, each way beside the others."""
     before = f"before={told.before}"
     ways = ["alone", before, "together", "two-choices", "true-state"]
-    cells = [(title, size, seconds, seed, how) for size in sizes for title, *_ in DAYS
-             for how in ways for seed in range(1, seeds + 1)]  # fmt: skip
-    cells += [("reconnect", size, seconds, seed, how) for size in sizes for how in ("cut", "liar")
-              for seed in range(1, seeds + 1)]  # fmt: skip
+    cells = [
+        (title, size, seconds, seed, how)
+        for size in sizes
+        for title, *_ in DAYS
+        for how in ways
+        for seed in range(1, seeds + 1)
+    ]
+    cells += [
+        ("reconnect", size, seconds, seed, how)
+        for size in sizes
+        for how in ("cut", "liar")
+        for seed in range(1, seeds + 1)
+    ]
     with ProcessPoolExecutor(told.jobs, mp_context=multiprocessing.get_context("spawn")) as pool:
         rows = dict(zip(cells, pool.map(play, cells), strict=True))
 
@@ -120,13 +144,21 @@
     lines = {}
     for size in sizes:
         for title, *_ in DAYS:
-            found = {how: [row for cell, row in rows.items() if cell[:2] == (title, size) and cell[4] == how]
-                     for how in ways}  # fmt: skip
+            found = {
+                how: [row for cell, row in rows.items() if cell[:2] == (title, size) and cell[4] == how]
+                for how in ways
+            }
             lines[title, size] = {how: mean(some, "figure") for how, some in found.items()}
-            print(f"{title}-{size[0]}x{size[1]}:", "  ".join(
-                f"{how} {mean(some, 'figure'):.4f} (busiest {mean(some, 'worst_over_mean'):.2f}, herd "
-                f"{mean(some, 'herd_p99'):.2f}, idle {mean(some, 'idle_servers'):.1f}, probes "
-                f"{mean(some, 'probes'):.0f})" for how, some in found.items()), flush=True)  # fmt: skip
+            print(
+                f"{title}-{size[0]}x{size[1]}:",
+                "  ".join(
+                    f"{how} {mean(some, 'figure'):.4f} (busiest {mean(some, 'worst_over_mean'):.2f}, herd "
+                    f"{mean(some, 'herd_p99'):.2f}, idle {mean(some, 'idle_servers'):.1f}, probes "
+                    f"{mean(some, 'probes'):.0f})"
+                    for how, some in found.items()
+                ),
+                flush=True,
+            )
     alone, together, best = (mean(of(how), "figure") for how in ("alone", "together", "true-state"))
     old = mean(of(before), "figure")
     calm = of("together", "calm")
@@ -142,10 +174,11 @@
         "herd_p99": round(mean(calm, "herd_p99"), 4),
         "partition_cost": round(mean(of("together", "reconnect"), "figure") - mean(of("cut"), "figure"), 4),
         "liar_cost": round(mean(of("together", "reconnect"), "figure") - mean(of("liar"), "figure"), 4),
-        "sharing_gain": round(mean(of("together", "reconnect"), "figure") - mean(of("alone", "reconnect"),
-                                                                                 "figure"), 4),
+        "sharing_gain": round(
+            mean(of("together", "reconnect"), "figure") - mean(of("alone", "reconnect"), "figure"), 4
+        ),
         "rules_broken": sum(row["broken"] for row in rows.values()),
-    }  # fmt: skip
+    }
 
 
 def main() -> None:
--- a/benchmarks/topology.py
+++ b/benchmarks/topology.py
@@ -31,8 +31,10 @@
     rows = [Member(f"n{n}", 1, "alive", "abcd"[n % 4]) for n in range(members)]
     blocks = [Server(f"s{n}", "abcd"[n % 4], own=3, load=0.4, load_age=1.0) for n in range(servers)]
     links = [Link(row.name, 1, 0.5, 9, 0.0, 1.0) for row in rows]
-    views = [View(f"{row.name}~1", row.zone, "1", "in service", members=rows, servers=blocks, links=links)
-             for row in rows]  # fmt: skip
+    views = [
+        View(f"{row.name}~1", row.zone, "1", "in service", members=rows, servers=blocks, links=links)
+        for row in rows
+    ]
     return Snapshot(1000.0, views)
 
 
@@ -45,9 +47,12 @@
     for count in range(280, 300):
         before, after = draw.scene(fleet(count, 100)), draw.scene(fleet(count + 1, 100))
         shifts.append(layout.shift(before["spots"], after["spots"], before["width"]))
-    return {"draw_300x100_s": round(took, 3), "bytes_300x100": len(page),
-            "layout_shift_one_more": round(statistics.median(shifts), 4),
-            "layout_shift_worst": round(max(shifts), 4)}  # fmt: skip
+    return {
+        "draw_300x100_s": round(took, 3),
+        "bytes_300x100": len(page),
+        "layout_shift_one_more": round(statistics.median(shifts), 4),
+        "layout_shift_worst": round(max(shifts), 4),
+    }
 
 
 def asked(rig: Rig, names: list[str]) -> tuple[Snapshot, float]:
@@ -124,8 +129,9 @@
 
 def cost(folder: Path, members: int, seconds: float) -> dict[str, Any]:
     """All are asked at once; one is asked each second while the others are not."""
-    with Rig(folder, members=members, zones=("a", "b", "c", "d"), period=1.0 if members > 20 else 0.4,
-             duties=[]) as rig:  # fmt: skip
+    with Rig(
+        folder, members=members, zones=("a", "b", "c", "d"), period=1.0 if members > 20 else 0.4, duties=[]
+    ) as rig:
         rig.start()
         rig.wait_members(within=120)
         rig.play(2.0)
@@ -143,11 +149,18 @@
             asked(rig, [polled])
             rig.play(max(0.0, due - time.monotonic()))
         mine, theirs = cpu([polled]) - before[0], cpu(others) - before[1]
-    print(f"{members} members: {len(snapshot.views)} answered, {len(snapshot.silent)} silent; "
-          f"{[one.words for one in found][:4]}", flush=True)  # fmt: skip
-    return {"members_asked": members, "gather_200_s": round(took, 3), "answered": len(snapshot.views),
-            "cpu_ratio_members": round(mine / max(1e-9, theirs), 3),
-            "cpu_ms_more_a_poll": round(1000 * (mine - theirs) / seconds, 2)}  # fmt: skip
+    print(
+        f"{members} members: {len(snapshot.views)} answered, {len(snapshot.silent)} silent; "
+        f"{[one.words for one in found][:4]}",
+        flush=True,
+    )
+    return {
+        "members_asked": members,
+        "gather_200_s": round(took, 3),
+        "answered": len(snapshot.views),
+        "cpu_ratio_members": round(mine / max(1e-9, theirs), 3),
+        "cpu_ms_more_a_poll": round(1000 * (mine - theirs) / seconds, 2),
+    }
 
 
 def main() -> None:
--- a/onyxhollow/__main__.py
+++ b/onyxhollow/__main__.py
@@ -93,13 +93,17 @@
         print(f"operators call {calls}")
         weights = "live" if settings.live_sizes else "sizes"
         how = "asked for" if settings.watched else "pushed"
-        print(f"weights {weights}, list {how}, groups {'on' if settings.groups else 'off'}, "
-              f"a probe costs {settings.probe_price:g}, a crossing {settings.crossing_price:g}")  # fmt: skip
+        print(
+            f"weights {weights}, list {how}, groups {'on' if settings.groups else 'off'}, "
+            f"a probe costs {settings.probe_price:g}, a crossing {settings.crossing_price:g}"
+        )
         print(f"servers known {len(config.known.entries)}, listeners {len(settings.listeners)}")
         if fleet:
             duties = ", ".join(f"{duty.name} ({duty.work}, one a {duty.per})" for duty in fleet.told.duty)
-            print(f"fleet {fleet.told.fleet}: member at {fleet.advertise[0]}:{fleet.advertise[1]}, "
-                  f"voters {', '.join(fleet.told.voters)}, lease {fleet.told.leases.lease:g} s")  # fmt: skip
+            print(
+                f"fleet {fleet.told.fleet}: member at {fleet.advertise[0]}:{fleet.advertise[1]}, "
+                f"voters {', '.join(fleet.told.voters)}, lease {fleet.told.leases.lease:g} s"
+            )
             print(f"duties: {duties or 'none'}")
             if shared := fleet.addresses:
                 names, sites = (", ".join(row.name for row in some) for some in (shared.service, shared.site))
--- a/onyxhollow/addresses/announcer.py
+++ b/onyxhollow/addresses/announcer.py
@@ -101,8 +101,11 @@
 
     def left(self) -> list[str]:
         """Addresses that an order has withdrawn, as the speaker has taken it."""
-        return [row.name for row in self.rows.values()
-                if row.cause == ORDER and row.wanted is row.told is Standing.WITHDRAWN]  # fmt: skip
+        return [
+            row.name
+            for row in self.rows.values()
+            if row.cause == ORDER and row.wanted is row.told is Standing.WITHDRAWN
+        ]
 
     def report(self, now: float) -> Report | None:
         if not self.read:
--- a/onyxhollow/addresses/file.py
+++ b/onyxhollow/addresses/file.py
@@ -105,8 +105,9 @@
         try:
             prefix = str(ipaddress.ip_network(service.prefix))
         except ValueError as error:
-            raise AddressesError(f"service[{place}].prefix: expected a prefix, got {service.prefix[:60]!r}: "
-                                 f"{error}") from None  # fmt: skip
+            raise AddressesError(
+                f"service[{place}].prefix: expected a prefix, got {service.prefix[:60]!r}: {error}"
+            ) from None
         if prefix in prefixes:
             raise AddressesError(f"service[{place}].prefix: expected one that no other has, got {prefix}")
         prefixes[prefix] = place
@@ -116,18 +117,23 @@
             try:
                 ipaddress.ip_address(site.next_hop)
             except ValueError:
-                raise AddressesError(f"site[{place}].next_hop: expected self or an address, got "
-                                     f"{site.next_hop[:60]!r}") from None  # fmt: skip
+                raise AddressesError(
+                    f"site[{place}].next_hop: expected self or an address, got {site.next_hop[:60]!r}"
+                ) from None
     policy = told.policy
     if policy.least > len(told.site):
-        raise AddressesError(f"policy.least: expected at most {len(told.site)}, as many as there are sites, "
-                             f"got {policy.least}")  # fmt: skip
+        raise AddressesError(
+            f"policy.least: expected at most {len(told.site)}, as many as there are sites, got {policy.least}"
+        )
     if (stay := sum(site.cut_off == "keep" for site in told.site)) < policy.least:
-        raise AddressesError(f'site: expected at least {policy.least} with cut_off = "keep" (policy.least), '
-                             f"got {stay}: without voters every gate would withdraw")  # fmt: skip
+        raise AddressesError(
+            f'site: expected at least {policy.least} with cut_off = "keep" (policy.least), '
+            f"got {stay}: without voters every gate would withdraw"
+        )
     if not policy.dead <= policy.ill <= policy.well:
-        raise AddressesError(f"policy: expected dead <= ill <= well, got {policy.dead:g}, {policy.ill:g}, "
-                             f"{policy.well:g}")  # fmt: skip
+        raise AddressesError(
+            f"policy: expected dead <= ill <= well, got {policy.dead:g}, {policy.ill:g}, {policy.well:g}"
+        )
 
 
 @contextlib.contextmanager
--- a/onyxhollow/addresses/health.py
+++ b/onyxhollow/addresses/health.py
@@ -89,8 +89,11 @@
         self.last: dict[str, dict[str, float]] = {}  # by site and member: when it last said anything
 
     def take(self, member: str, evidence: Evidence, now: float) -> None:
-        rows = {row.address: row for row in evidence.rows
-                if 0.0 <= row.health <= 1.0 and 0.0 <= min(row.load, row.coming) < MOST}  # fmt: skip
+        rows = {
+            row.address: row
+            for row in evidence.rows
+            if 0.0 <= row.health <= 1.0 and 0.0 <= min(row.load, row.coming) < MOST
+        }
         self.heard.setdefault(evidence.site, {})[member] = now, rows
         self.last.setdefault(evidence.site, {})[member] = now
 
@@ -105,12 +108,22 @@
         for member in [name for name, at in last.items() if now - at > SPAN]:
             del last[member]
         if len(rows) == 1 and len(last) > 1 and rows[0][0].health < 1.0:
-            return Judged(None, f"only {rows[0][1]} speaks, of {len(last)} of late", rows[0][0].load,
-                          rows[0][0].coming, 1)  # fmt: skip
+            return Judged(
+                None,
+                f"only {rows[0][1]} speaks, of {len(last)} of late",
+                rows[0][0].load,
+                rows[0][0].coming,
+                1,
+            )
         # With two, both have to be ill: the better one counts. Past that the middle one does.
         all_say = [row.health for row, _ in rows]
         health = max(all_say) if len(rows) == 2 else statistics.median_low(all_say)
         worst = sorted(rows, key=lambda row: row[0].health)[:3]
         reason = "; ".join(f"{member} {row.health:.2f} {row.reason}" for row, member in worst)
-        return Judged(health, f"{len(rows)} said: {reason}"[:240], sum(row.load for row, _ in rows),
-                      sum(row.coming for row, _ in rows), len(rows))  # fmt: skip
+        return Judged(
+            health,
+            f"{len(rows)} said: {reason}"[:240],
+            sum(row.load for row, _ in rows),
+            sum(row.coming for row, _ in rows),
+            len(rows),
+        )
--- a/onyxhollow/addresses/keeper.py
+++ b/onyxhollow/addresses/keeper.py
@@ -67,8 +67,11 @@
     ) -> None:
         self.told, self.policy, self.voters, self.term = told, told.policy, voters, term
         self.capacity = {site.name: site.capacity for site in told.site}
-        self.cells = {(service.name, site.name): Cell(service.name, site.name, capacity=site.capacity)
-                      for service in told.service for site in told.site}  # fmt: skip
+        self.cells = {
+            (service.name, site.name): Cell(service.name, site.name, capacity=site.capacity)
+            for service in told.service
+            for site in told.site
+        }
         self.witnesses = Witnesses(told.policy.fresh)
         self.book = Book()
         self.heard_voters: set[str] = set()
@@ -192,8 +195,17 @@
         for one in decisions:
             self.number += 1
             self.counts[f"decided: {one.standing.name.lower()}"] += 1
-            row = Decided(self.term, self.number, wall, one.address, one.site, int(one.standing), one.cause,
-                          short(one.why, WHY), short(one.evidence, WHY))  # fmt: skip
+            row = Decided(
+                self.term,
+                self.number,
+                wall,
+                one.address,
+                one.site,
+                int(one.standing),
+                one.cause,
+                short(one.why, WHY),
+                short(one.evidence, WHY),
+            )
             self.waiting[mark(row)] = Waiting(row, one)
 
     def view(self, now: float) -> dict[str, Any]:
@@ -206,18 +218,35 @@
             # A keeper that has just begun may never hear from a site whose members are all gone: what stands
             # there is not known, which is not the same as withdrawn.
             standing = cell.standing.name.lower() if key in self.told_of else UNKNOWN
-            rows.append({
-                "address": cell.address, "site": cell.site, "standing": standing,
-                "cause": cell.cause, "for": round(max(0.0, min(1e9, now - cell.since)), 1),
-                "reached": cell.reached, "carried": cell.carried,
-                "health": None if cell.health is None else round(cell.health, 3), "evidence": cell.reason,
-                "load": cell.load, "coming": round(cell.coming, 2), "capacity": cell.capacity,
-                "flaps": round(cell.flapped(self.policy, now), 2),
-                "stays": f"{stay.rule}: {stay.why}" if stay else "", "last": self.last(cell, now),
-                "drain": order.drain, "pin": order.pin, "exclude": order.exclude,
-            })  # fmt: skip
-        return {"term": self.term, "ready": self.ready(now), "rows": rows, "counts": dict(self.counts),
-                "waiting": len(self.waiting)}  # fmt: skip
+            rows.append(
+                {
+                    "address": cell.address,
+                    "site": cell.site,
+                    "standing": standing,
+                    "cause": cell.cause,
+                    "for": round(max(0.0, min(1e9, now - cell.since)), 1),
+                    "reached": cell.reached,
+                    "carried": cell.carried,
+                    "health": None if cell.health is None else round(cell.health, 3),
+                    "evidence": cell.reason,
+                    "load": cell.load,
+                    "coming": round(cell.coming, 2),
+                    "capacity": cell.capacity,
+                    "flaps": round(cell.flapped(self.policy, now), 2),
+                    "stays": f"{stay.rule}: {stay.why}" if stay else "",
+                    "last": self.last(cell, now),
+                    "drain": order.drain,
+                    "pin": order.pin,
+                    "exclude": order.exclude,
+                }
+            )
+        return {
+            "term": self.term,
+            "ready": self.ready(now),
+            "rows": rows,
+            "counts": dict(self.counts),
+            "waiting": len(self.waiting),
+        }
 
     def plan(self, order: Order, now: float, wall: float) -> dict[str, Any]:
         """What an order would bring, now and once sessions have moved; nothing is changed."""
@@ -235,12 +264,23 @@
                 continue  # that comes anyhow
             cell = self.cells[one.address, one.site]
             to = Round(self.policy, cells, found, now).able(cell)
-            rows.append({"address": one.address, "site": one.site, "standing": one.standing.name.lower(),
-                         "why": one.why, "load": cell.load,
-                         "goes_to": {row.site: round(cell.load / len(to), 1) for row in to}
-                         if one.standing is not Standing.ADVERTISED else {}})  # fmt: skip
-        hindered = [{"address": stay.address, "site": stay.site, "why": f"{stay.rule}: {stay.why}"}
-                    for stay in stays if stay.site == order.site]  # fmt: skip
+            rows.append(
+                {
+                    "address": one.address,
+                    "site": one.site,
+                    "standing": one.standing.name.lower(),
+                    "why": one.why,
+                    "load": cell.load,
+                    "goes_to": {row.site: round(cell.load / len(to), 1) for row in to}
+                    if one.standing is not Standing.ADVERTISED
+                    else {},
+                }
+            )
+        hindered = [
+            {"address": stay.address, "site": stay.site, "why": f"{stay.rule}: {stay.why}"}
+            for stay in stays
+            if stay.site == order.site
+        ]
         return {"would": rows, "hindered": hindered, "term": self.term}
 
     def last(self, cell: Cell, now: float) -> bool:
@@ -252,9 +292,22 @@
         """To a site that has not answered, or not lately, the keeper only says that it is there: what stands
         there is heard first."""
         known = now - self.answered.get(site, -math.inf) <= self.policy.fresh
-        rows = [Row(cell.address, int(cell.standing), cell.cause, max(0.0, min(1e9, now - cell.since)),
-                    cell.flapped(self.policy, now), self.last(cell, now))
-                for (_, at), cell in self.cells.items() if at == site] if known else []  # fmt: skip
+        rows = (
+            [
+                Row(
+                    cell.address,
+                    int(cell.standing),
+                    cell.cause,
+                    max(0.0, min(1e9, now - cell.since)),
+                    cell.flapped(self.policy, now),
+                    self.last(cell, now),
+                )
+                for (_, at), cell in self.cells.items()
+                if at == site
+            ]
+            if known
+            else []
+        )
         for page in pages(rows) if rows else [rows]:
             self.number += 1
             self.out.append((f"site {site}", Grant(self.term, self.number, site, page)))
--- a/onyxhollow/addresses/orders.py
+++ b/onyxhollow/addresses/orders.py
@@ -13,8 +13,14 @@
 from onyxhollow.addresses.messages import Order
 from onyxhollow.addresses.rules import Orders
 
-VERBS = {"drain": ("drain", True), "undrain": ("drain", False), "pin": ("pin", True), "unpin": ("pin", False),
-         "exclude": ("exclude", True), "include": ("exclude", False)}  # fmt: skip
+VERBS = {
+    "drain": ("drain", True),
+    "undrain": ("drain", False),
+    "pin": ("pin", True),
+    "unpin": ("pin", False),
+    "exclude": ("exclude", True),
+    "include": ("exclude", False),
+}
 MOST = 512  # held at once; the oldest that are over make room
 WORDS = 200  # characters of a reason
 
--- a/onyxhollow/addresses/rules.py
+++ b/onyxhollow/addresses/rules.py
@@ -143,8 +143,15 @@
 
     def others(self, cell: Cell) -> list[Cell]:
         """Sites that go on advertising the address without this one, as their speakers have taken it."""
-        return [one for one in self.rows if one.address == cell.address and one is not cell and one.reached
-                and one.carried and one.standing is self.state[one.key] is Standing.ADVERTISED]  # fmt: skip
+        return [
+            one
+            for one in self.rows
+            if one.address == cell.address
+            and one is not cell
+            and one.reached
+            and one.carried
+            and one.standing is self.state[one.key] is Standing.ADVERTISED
+        ]
 
     def able(self, cell: Cell) -> list[Cell]:
         """Those of them that are not ill: where its clients would go."""
--- a/onyxhollow/addresses/table.py
+++ b/onyxhollow/addresses/table.py
@@ -57,8 +57,9 @@
 
     def rows(self) -> list[Term | Stands]:
         """All of it, written anew."""
-        stands = [Stands(name, int(standing), self.keeper, self.number)
-                  for name, standing in self.stands.items()]  # fmt: skip
+        stands = [
+            Stands(name, int(standing), self.keeper, self.number) for name, standing in self.stands.items()
+        ]
         return [Term(self.term, self.member), *stands]
 
     def claim(self, term: int, member: str, now: float) -> Refused | list[Term | Stands]:
@@ -103,8 +104,11 @@
         if alone < after and not nobody:
             return []
         every = every or nobody
-        gone = [name for name, standing in self.stands.items() if standing is not Standing.WITHDRAWN
-                and name not in self.last and (every or name in dead)]  # fmt: skip
+        gone = [
+            name
+            for name, standing in self.stands.items()
+            if standing is not Standing.WITHDRAWN and name not in self.last and (every or name in dead)
+        ]
         for name in gone:
             self.stands[name] = Standing.WITHDRAWN
         return [Stands(name, 0, self.keeper, self.number) for name in gone]
@@ -120,4 +124,3 @@
         path = " ".join([str(self.own_as)] * LONGER)
         less = self.site.preference + 1000
         return f"announce {route} med {less} community [{GRACEFUL_SHUTDOWN}] as-path [{path}]"
-
--- a/onyxhollow/benchlink/link.py
+++ b/onyxhollow/benchlink/link.py
@@ -196,9 +196,19 @@
 
 EVENTS: dict[str, Callable[..., None]] = {
     name: getattr(Instance, name)
-    for name in ("members", "order", "existing", "begun", "change", "answer", "cancelledByClient", "elapsed",
-                 "probed", "neighbourSays")
-}  # fmt: skip
+    for name in (
+        "members",
+        "order",
+        "existing",
+        "begun",
+        "change",
+        "answer",
+        "cancelledByClient",
+        "elapsed",
+        "probed",
+        "neighbourSays",
+    )
+}
 
 
 class Link:
--- a/onyxhollow/duties/messages.py
+++ b/onyxhollow/duties/messages.py
@@ -122,8 +122,9 @@
     council: Council
 
 
-Messages = (Ask | Answer | Release | Offer | Recall | Recalled | Propose | Accepted | Learn | Command | Held
-            | Change)  # fmt: skip
+Messages = (
+    Ask | Answer | Release | Offer | Recall | Recalled | Propose | Accepted | Learn | Command | Held | Change
+)
 VOTERS = "voters"  # the duty of changing the council; its term is the proposal's number
 
 
--- a/onyxhollow/facade.py
+++ b/onyxhollow/facade.py
@@ -135,9 +135,16 @@
 class Facade:
     """Carries the module. Its clock is the loop's, its one timer the caller's of tick."""
 
-    def __init__(self, clock: Callable[[], float], settings: Settings, seed: int, counters: Counters,
-                 log: Callable[[str], None], probe: Callable[[str], None],
-                 watch: Callable[[], None]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        settings: Settings,
+        seed: int,
+        counters: Counters,
+        log: Callable[[str], None],
+        probe: Callable[[str], None],
+        watch: Callable[[], None],
+    ) -> None:
         self.clock, self.counters, self.log = clock, counters, log
         self.probe, self.watch = probe, watch
         self.due = math.inf
@@ -149,14 +156,29 @@
         return self.clock()
 
     # seen by the network code
-    def take(self, wake: Callable[[], None], listener: Listener, customer: Customer | None, group: Hashable,
-             left: float, load: float | None) -> Handle:  # fmt: skip
+    def take(
+        self,
+        wake: Callable[[], None],
+        listener: Listener,
+        customer: Customer | None,
+        group: Hashable,
+        left: float,
+        load: float | None,
+    ) -> Handle:
         handle = Handle(self, wake)
         handle.sess = self.balancer.take(handle, listener, customer, group, left, load)
         return handle
 
-    def adopt(self, wake: Callable[[], None], listener: Listener, customer: Customer | None, group: Hashable,
-              load: float | None, server: str, placed: bool = False) -> Handle:  # fmt: skip
+    def adopt(
+        self,
+        wake: Callable[[], None],
+        listener: Listener,
+        customer: Customer | None,
+        group: Hashable,
+        load: float | None,
+        server: str,
+        placed: bool = False,
+    ) -> Handle:
         """A connection that was open before this process started; placed: by the one before it."""
         handle = Handle(self, wake)
         handle.sess = self.balancer.adopt(handle, listener, customer, group, load, server)
--- a/onyxhollow/fleet/addressing.py
+++ b/onyxhollow/fleet/addressing.py
@@ -71,9 +71,11 @@
     for row in told["rows"]:
         if (row["address"], row["site"]) == (name, site):
             health = "unknown" if row["health"] is None else f"{row['health']:.2f}"
-            lines = [f"{name} at {site}: {row['standing']} for {row['for']:.0f} s"
-                     + (f", cause {row['cause']}" if row["cause"] else ""),
-                     f"health {health}: {row['evidence']}"]  # fmt: skip
+            lines = [
+                f"{name} at {site}: {row['standing']} for {row['for']:.0f} s"
+                + (f", cause {row['cause']}" if row["cause"] else ""),
+                f"health {health}: {row['evidence']}",
+            ]
             return "\n".join(lines + ([marks(row)] if marks(row) else []))
     raise CallError(f"why: expected an address and a site of the file, got {name} {site}")
 
@@ -87,12 +89,29 @@
     for head in ("when", "what", "address", "site", "why", "evidence"):
         shown.add_column(head, overflow="fold")
     standings = ("withdrawn", "lesser", "advertised")
-    rows = [(row["at"], standings[row["standing"]], row["address"], row["site"], row["why"],
-             f"term {row['term']}; {row['evidence']}") for row in told["decided"]]  # fmt: skip
+    rows = [
+        (
+            row["at"],
+            standings[row["standing"]],
+            row["address"],
+            row["site"],
+            row["why"],
+            f"term {row['term']}; {row['evidence']}",
+        )
+        for row in told["decided"]
+    ]
     for row in told["orders"]:
         until = f" until {moment(row['until'])}" if row["until"] else ""
-        rows.append((row["given"], f"order: {row['verb']}", row["address"] or "all", row["site"],
-                     f"{row['who']}: {row['why']}{until}", row["id"]))  # fmt: skip
+        rows.append(
+            (
+                row["given"],
+                f"order: {row['verb']}",
+                row["address"] or "all",
+                row["site"],
+                f"{row['who']}: {row['why']}{until}",
+                row["id"],
+            )
+        )
     for at, *rest in sorted(rows):
         shown.add_row(moment(at), *rest)
     return shown
@@ -115,8 +134,10 @@
             print(json.dumps(state) if told.json else words)
             return 0
         time.sleep(AGAIN)
-    sys.stderr.write(f"onyxhollow: order {answer['id']}: kept by {state.get('kept', 0)} voters, expected "
-                     f"{state.get('needed', '?')}; {told.at} goes on trying\n")  # fmt: skip
+    sys.stderr.write(
+        f"onyxhollow: order {answer['id']}: kept by {state.get('kept', 0)} voters, expected "
+        f"{state.get('needed', '?')}; {told.at} goes on trying\n"
+    )
     return NOT_KEPT
 
 
@@ -142,8 +163,9 @@
 
     def add(name: str, does: str, watch: bool = False) -> argparse.ArgumentParser:
         part = parts.add_parser(name, help=does)
-        part.add_argument("--at", default=os.environ.get("LB_MANAGEMENT", ""),
-                          help="HOST:PORT; else $LB_MANAGEMENT")  # fmt: skip
+        part.add_argument(
+            "--at", default=os.environ.get("LB_MANAGEMENT", ""), help="HOST:PORT; else $LB_MANAGEMENT"
+        )
         part.add_argument("--json", action="store_true", help="as the process tells it")
         if watch:
             part.add_argument("--watch", action="store_true", help="a live screen, until ended by hand")
@@ -156,8 +178,11 @@
     reasons.add_argument("site")
     add("history", "the last decisions and orders, with their evidence")
     for verb in ("plan", *VERBS):
-        does = "a dry run: what an order would do, and where its sessions would go" if verb == "plan" else (
-            f"order: {verb} a site's addresses, or one of them")  # fmt: skip
+        does = (
+            "a dry run: what an order would do, and where its sessions would go"
+            if verb == "plan"
+            else (f"order: {verb} a site's addresses, or one of them")
+        )
         part = add(verb, does)
         if verb == "plan":
             part.add_argument("verb", choices=VERBS)
--- a/onyxhollow/fleet/advertise.py
+++ b/onyxhollow/fleet/advertise.py
@@ -134,9 +134,16 @@
         out, core.out = core.out, []
         log, core.log = core.log, []
         for row in log:
-            self.shared.node.event("address", address=row.address, site=row.site, term=row.term,
-                                   standing=Standing(row.standing).name.lower(), cause=row.cause, why=row.why,
-                                   evidence=row.evidence)  # fmt: skip
+            self.shared.node.event(
+                "address",
+                address=row.address,
+                site=row.site,
+                term=row.term,
+                standing=Standing(row.standing).name.lower(),
+                cause=row.cause,
+                why=row.why,
+                evidence=row.evidence,
+            )
         for to, message in out:
             if not self.still():
                 return
@@ -404,8 +411,12 @@
             return
         for order in self.store.orders():
             self.book.add(order, now, time.time())
-        self.node.event("store", orders=len(self.store.orders()), decided=len(self.store.decided()),
-                        cut=self.store.records.cut)  # fmt: skip
+        self.node.event(
+            "store",
+            orders=len(self.store.orders()),
+            decided=len(self.store.decided()),
+            cut=self.store.records.cut,
+        )
 
     def keep(self, message: Keep, who: str) -> None:
         if self.store is None or self.node.name not in self.node.council.names:
@@ -460,9 +471,17 @@
                 if len(pending.kept_by) >= self.node.council.majority:
                     del self.pending[name]
                     self.done.append(name)
-                    self.node.event("order", id=name, verb=pending.order.verb, address=pending.order.address,
-                                    site=pending.order.site, who=pending.order.who, why=pending.order.why,
-                                    until=pending.order.until, kept_by=len(pending.kept_by))  # fmt: skip
+                    self.node.event(
+                        "order",
+                        id=name,
+                        verb=pending.order.verb,
+                        address=pending.order.address,
+                        site=pending.order.site,
+                        who=pending.order.who,
+                        why=pending.order.why,
+                        until=pending.order.until,
+                        kept_by=len(pending.kept_by),
+                    )
 
     def read_order(self, query: str) -> Order | str:
         asked = dict(parse_qsl(query))
@@ -548,8 +567,10 @@
         if message.what == "history" and self.store is not None:
             rows = self.store.decided()[-100:]
             orders = self.store.orders()[-100:]
-            told = {"decided": [msgspec.structs.asdict(row) for row in rows],
-                    "orders": [msgspec.structs.asdict(row) for row in orders]}  # fmt: skip
+            told = {
+                "decided": [msgspec.structs.asdict(row) for row in rows],
+                "orders": [msgspec.structs.asdict(row) for row in orders],
+            }
         elif core is not None and self.keeper_work.still():
             if message.what == "view":
                 told = core.view(now) | {"keeper": self.node.who}
@@ -626,8 +647,10 @@
                 self.doors[service.name].tried(False)
                 continue
             until = loop.now + within
-            channel.write(b"OPEN own%x-%x own c=%s,d=%d\r\n" % (
-                self.node.epoch, number, name.encode(), max(1, round(within * 1000))))  # fmt: skip
+            channel.write(
+                b"OPEN own%x-%x own c=%s,d=%d\r\n"
+                % (self.node.epoch, number, name.encode(), max(1, round(within * 1000)))
+            )
             while loop.now < until and not channel.ended:
                 if (line := channel.line()) is not None:
                     went = bytes(line[:2]) == b"UP"
@@ -663,12 +686,23 @@
         if not self.leaving:
             self.pace = None
             return
-        stay = {name for told in self.told.service if told.name not in self.leaving
-                for name in told.listeners or self.node.proxy.config.settings.listeners}  # fmt: skip
-        go = {name for told in self.told.service if told.name in self.leaving
-              for name in told.listeners or self.node.proxy.config.settings.listeners} - stay  # fmt: skip
-        live = [sess for sess in self.node.proxy.sessions.table.live if sess.open and not sess.stopping
-                and sess.opening is not None and sess.opening.listener in go]  # fmt: skip
+        stay = {
+            name
+            for told in self.told.service
+            if told.name not in self.leaving
+            for name in told.listeners or self.node.proxy.config.settings.listeners
+        }
+        go = {
+            name
+            for told in self.told.service
+            if told.name in self.leaving
+            for name in told.listeners or self.node.proxy.config.settings.listeners
+        } - stay
+        live = [
+            sess
+            for sess in self.node.proxy.sessions.table.live
+            if sess.open and not sess.stopping and sess.opening is not None and sess.opening.listener in go
+        ]
         if self.pace is None:
             self.pace = Pace(len(live))
             self.node.event("address leaves", names=sorted(self.leaving), connections=len(live))
@@ -717,5 +751,3 @@
     def close(self) -> None:
         if self.store:
             self.store.records.close()
-
-
--- a/onyxhollow/fleet/commands.py
+++ b/onyxhollow/fleet/commands.py
@@ -19,9 +19,7 @@
     """The process could not be asked, or said no."""
 
 
-def call(
-    address: str, method: str, path: str, /, root: str = "/control/fleet", **query: str
-) -> bytes:
+def call(address: str, method: str, path: str, /, root: str = "/control/fleet", **query: str) -> bytes:
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
         raise CallError(f"--at: expected HOST:PORT, got {address!r}")
@@ -47,8 +45,10 @@
     """Columns as wide as what stands in them."""
     told = [heads, *([str("" if value is None else value) for value in row] for row in rows)]
     widths = [max(len(row[place]) for row in told) for place in range(len(heads))]
-    return "\n".join("  ".join(value.ljust(width) for value, width in zip(row, widths, strict=True)).rstrip()
-                     for row in told)  # fmt: skip
+    return "\n".join(
+        "  ".join(value.ljust(width) for value, width in zip(row, widths, strict=True)).rstrip()
+        for row in told
+    )
 
 
 def members_text(told: dict[str, Any]) -> str:
@@ -72,8 +72,17 @@
 
 
 def duties_text(told: dict[str, Any]) -> str:
-    rows = [(d["duty"], d["holder"].rpartition("~")[0], d["term"], d.get("here", ""), d.get("left"),
-             " ".join(d.get("order", []))) for d in told["duties"]]  # fmt: skip
+    rows = [
+        (
+            d["duty"],
+            d["holder"].rpartition("~")[0],
+            d["term"],
+            d.get("here", ""),
+            d.get("left"),
+            " ".join(d.get("order", [])),
+        )
+        for d in told["duties"]
+    ]
     return table(("duty", "holder", "term", "here", "left", "order"), rows)
 
 
--- a/onyxhollow/fleet/gate.py
+++ b/onyxhollow/fleet/gate.py
@@ -137,10 +137,17 @@
         return {name: int(standing) for name, standing in self.table.stands.items()}
 
     def tell(self, status: int = 200) -> Answer:
-        rows = {name: {"wanted": int(standing), "told": self.taken[name]}
-                for name, standing in self.table.stands.items()}  # fmt: skip
-        told = {"term": self.table.term, "member": self.table.member, "keeper": self.table.keeper,
-                "speaker": self.speaker, "rows": rows}  # fmt: skip
+        rows = {
+            name: {"wanted": int(standing), "told": self.taken[name]}
+            for name, standing in self.table.stands.items()
+        }
+        told = {
+            "term": self.table.term,
+            "member": self.table.member,
+            "keeper": self.table.keeper,
+            "speaker": self.speaker,
+            "rows": rows,
+        }
         return status, orjson.dumps(told, option=orjson.OPT_APPEND_NEWLINE), JSON
 
     def keep(self, rows: list[Term | Stands]) -> bool:
--- a/onyxhollow/fleet/lists.py
+++ b/onyxhollow/fleet/lists.py
@@ -89,8 +89,11 @@
         self.node.task.wake()
 
     def take(self, told: telling.Take) -> bool:
-        body = {"seq": self.discovery.version if told.version is None else told.version, "whole": told.whole,
-                "hosts": told.rows}  # fmt: skip
+        body = {
+            "seq": self.discovery.version if told.version is None else told.version,
+            "whole": told.whole,
+            "hosts": told.rows,
+        }
         self.taking = True
         try:
             self.discovery.take(told.rows, read_list(body, self.discovery.clock_ahead))
@@ -234,5 +237,9 @@
         return min(beat, self.sends_at, self.listener.due())
 
     def state(self) -> dict[str, Any]:
-        return {"duty": self.duty, "version": self.discovery.version, "rests": self.discovery.resting,
-                "tells": self.teller is not None and self.still()}  # fmt: skip
+        return {
+            "duty": self.duty,
+            "version": self.discovery.version,
+            "rests": self.discovery.resting,
+            "tells": self.teller is not None and self.still(),
+        }
--- a/onyxhollow/fleet/node.py
+++ b/onyxhollow/fleet/node.py
@@ -141,9 +141,14 @@
         self.loop.watch(self.sock.fileno(), READ, self.ready)
         self.task: Task = self.loop.spawn(self.run())
         self.event(
-            "fleet", listen=fleet.listen, advertise=fleet.advertise, epoch=self.epoch,
-            voters=self.told.voters, zone=self.zone, version=__version__,
-        )  # fmt: skip
+            "fleet",
+            listen=fleet.listen,
+            advertise=fleet.advertise,
+            epoch=self.epoch,
+            voters=self.told.voters,
+            zone=self.zone,
+            version=__version__,
+        )
 
     def add_duty(self, duty: Duty) -> None:
         name = f"{duty.name}/{self.zone}" if duty.per == "zone" else duty.name
@@ -277,8 +282,14 @@
                 self.shares.changed = True
             if member.life in (Life.SUSPECT, Life.DEAD):
                 self.trouble_at = now
-            self.event("member", member=member.name, epoch=member.epoch, life=member.life.name.lower(),
-                       why=change.why, there=self.swim.size())  # fmt: skip
+            self.event(
+                "member",
+                member=member.name,
+                epoch=member.epoch,
+                life=member.life.name.lower(),
+                why=change.why,
+                there=self.swim.size(),
+            )
 
     def fit(self) -> bool:
         """Whether this process may hold duties: it serves clients, and no successor does."""
@@ -312,9 +323,7 @@
             able.add((False, False, self.name, self.who))
         # Those suspected, and those that come and go, rank last: a duty must not wait for them nor lack them.
 
-        order = sorted(
-            able, key=lambda one: (*one[:2], place(duty, one[2]))
-        )
+        order = sorted(able, key=lambda one: (*one[:2], place(duty, one[2])))
         self.ranks[duty] = [one[3] for one in order]
         return self.ranks[duty]
 
@@ -645,53 +654,102 @@
 
     def tell_fleet(self, _: str) -> Answer:
         now = clock.now()
-        members = [{"name": m.name, "epoch": m.epoch, "life": m.life.name.lower(), "zone": m.zone,
-                    "address": f"{m.address[0]}:{m.address[1]}", "incarnation": m.incarnation,
-                    "for": round(now - m.since, 1), "votes": bool(m.flags & VOTES), 
-                    "holds": bool(m.flags & HOLDS), "damped": self.swim.damping.damped(m.name, now)}
-                   for m in sorted(self.swim.members.values(), key=lambda m: m.who)]  # fmt: skip
+        members = [
+            {
+                "name": m.name,
+                "epoch": m.epoch,
+                "life": m.life.name.lower(),
+                "zone": m.zone,
+                "address": f"{m.address[0]}:{m.address[1]}",
+                "incarnation": m.incarnation,
+                "for": round(now - m.since, 1),
+                "votes": bool(m.flags & VOTES),
+                "holds": bool(m.flags & HOLDS),
+                "damped": self.swim.damping.damped(m.name, now),
+            }
+            for m in sorted(self.swim.members.values(), key=lambda m: m.who)
+        ]
         duties = []
         for duty, runner in sorted(self.runners.items()):
             claim = runner.claim
             term, who = self.holders.get(duty, (0, ""))
-            duties.append({"duty": duty, "term": term, "holder": who, "here": claim.state.value,
-                           "left": round(max(0.0, claim.until - now), 3) if claim.holds(now) else None,
-                           "order": [name_of(one) for one in self.order(runner)[:3]]})  # fmt: skip
+            duties.append(
+                {
+                    "duty": duty,
+                    "term": term,
+                    "holder": who,
+                    "here": claim.state.value,
+                    "left": round(max(0.0, claim.until - now), 3) if claim.holds(now) else None,
+                    "order": [name_of(one) for one in self.order(runner)[:3]],
+                }
+            )
         for duty, (term, who) in sorted(self.holders.items()):
             if duty not in self.runners:
                 duties.append({"duty": duty, "term": term, "holder": who})
         voter = None
         if self.voter:
-            voter = {"blank": self.voter.blank, "disk": not self.disk_fails, "duties": len(self.voter.seats),
-                     "changing": self.voter.pending is not None}  # fmt: skip
-        told = {"me": self.who, "zone": self.zone, "there": self.swim.size(), "health": self.swim.health,
-                "stalled": round(self.swim.stalled, 3), "stalls": self.swim.counts["stalls"],
-                "stalled_ago": round(now - self.swim.stalled_at, 2) if self.swim.stalls_seen else None,
-                "version": __version__, "service": self.proxy.service.state.value,
-                "links": self.links(now), "servers": self.servers(), "members": members, "duties": duties,
-                "voters": {"version": self.council.version, "names": self.council.names}, "voter": voter,
-                "list": self.lists.state() if self.lists else None,
-                "sharing": self.shares.state(now) if self.shares else None,
-                "counts": dict(self.counts + self.swim.counts),
-                "dropped": dict(self.seal.dropped)}  # fmt: skip
+            voter = {
+                "blank": self.voter.blank,
+                "disk": not self.disk_fails,
+                "duties": len(self.voter.seats),
+                "changing": self.voter.pending is not None,
+            }
+        told = {
+            "me": self.who,
+            "zone": self.zone,
+            "there": self.swim.size(),
+            "health": self.swim.health,
+            "stalled": round(self.swim.stalled, 3),
+            "stalls": self.swim.counts["stalls"],
+            "stalled_ago": round(now - self.swim.stalled_at, 2) if self.swim.stalls_seen else None,
+            "version": __version__,
+            "service": self.proxy.service.state.value,
+            "links": self.links(now),
+            "servers": self.servers(),
+            "members": members,
+            "duties": duties,
+            "voters": {"version": self.council.version, "names": self.council.names},
+            "voter": voter,
+            "list": self.lists.state() if self.lists else None,
+            "sharing": self.shares.state(now) if self.shares else None,
+            "counts": dict(self.counts + self.swim.counts),
+            "dropped": dict(self.seal.dropped),
+        }
         return 200, orjson.dumps(told, option=orjson.OPT_APPEND_NEWLINE), JSON
 
     def links(self, now: float) -> list[dict[str, Any]]:
         """What this process has seen of the ways to others and back."""
-        return [{"to": name, "epoch": epoch, "heard": round(min(1e6, now - link.heard_at), 2),
-                 "asked": link.asked, "asked_ago": round(min(1e6, now - link.asked_at), 2),
-                 "lost": round(link.lost, 3), "rtt_ms": round(1000 * link.rtt, 2)}
-                for (name, epoch), link in sorted(self.swim.links.items())]  # fmt: skip
+        return [
+            {
+                "to": name,
+                "epoch": epoch,
+                "heard": round(min(1e6, now - link.heard_at), 2),
+                "asked": link.asked,
+                "asked_ago": round(min(1e6, now - link.asked_at), 2),
+                "lost": round(link.lost, 3),
+                "rtt_ms": round(1000 * link.rtt, 2),
+            }
+            for (name, epoch), link in sorted(self.swim.links.items())
+        ]
 
     def servers(self) -> list[dict[str, Any]]:
         """What this process holds of the servers: own connections, load and how old that is."""
         balancer = self.proxy.facade.balancer
         at = self.loop.now
-        return [{"name": s.name, "zone": s.zone, "state": s.readiness.value, "own": len(s.connections),
-                 "size": s.size, "load": round(s.load, 3) if at - s.load_at < 60 else None,
-                 "load_age": round(at - s.load_at, 1) if at - s.load_at < 60 else None,
-                 "distrust": round(s.score(at), 2), "arrives": s.arrival is not None}
-                for s in sorted(balancer.servers.values(), key=lambda s: s.name)]  # fmt: skip
+        return [
+            {
+                "name": s.name,
+                "zone": s.zone,
+                "state": s.readiness.value,
+                "own": len(s.connections),
+                "size": s.size,
+                "load": round(s.load, 3) if at - s.load_at < 60 else None,
+                "load_age": round(at - s.load_at, 1) if at - s.load_at < 60 else None,
+                "distrust": round(s.score(at), 2),
+                "arrives": s.arrival is not None,
+            }
+            for s in sorted(balancer.servers.values(), key=lambda s: s.name)
+        ]
 
     def tell_history(self, query: str) -> Answer:
         name = dict(parse_qsl(query)).get("name")
--- a/onyxhollow/fleet/shares.py
+++ b/onyxhollow/fleet/shares.py
@@ -105,11 +105,21 @@
     def state(self, now: float) -> dict[str, Any]:
         names = {epoch: member.name for epoch, member in self.there.items()}
         names[self.core.epoch] = self.node.name
-        rows = [{"server": name, "by": names.get(known.row.by, ""), "age": round(now - known.at, 2),
-                 "load": known.row.load / 1000 if known.row.load >= 0 else None,
-                 "load_age": round(now - known.load_at, 2), "held": known.row.held,
-                 "doubters": known.row.doubters}
-                for name, known in sorted(self.core.table.items())]  # fmt: skip
-        return {"rows": rows, "keeps": sorted(name for name, kept in self.core.kept.items() if not kept.rank),
-                "deputy": sorted(name for name, kept in self.core.kept.items() if kept.rank),
-                "counts": dict(self.core.counts)}  # fmt: skip
+        rows = [
+            {
+                "server": name,
+                "by": names.get(known.row.by, ""),
+                "age": round(now - known.at, 2),
+                "load": known.row.load / 1000 if known.row.load >= 0 else None,
+                "load_age": round(now - known.load_at, 2),
+                "held": known.row.held,
+                "doubters": known.row.doubters,
+            }
+            for name, known in sorted(self.core.table.items())
+        ]
+        return {
+            "rows": rows,
+            "keeps": sorted(name for name, kept in self.core.kept.items() if not kept.rank),
+            "deputy": sorted(name for name, kept in self.core.kept.items() if kept.rank),
+            "counts": dict(self.core.counts),
+        }
--- a/onyxhollow/fleet/telling.py
+++ b/onyxhollow/fleet/telling.py
@@ -111,8 +111,10 @@
 
     def parts(self, rows: list[Any], base: int) -> list[Rows]:
         packed = pack(rows)[:MOST_PARTS]
-        return [Rows(self.duty, self.term, self.source, self.version, base, place, len(packed), body)
-                for place, body in enumerate(packed)]  # fmt: skip
+        return [
+            Rows(self.duty, self.term, self.source, self.version, base, place, len(packed), body)
+            for place, body in enumerate(packed)
+        ]
 
     def told(self, rows: dict[str, Any], version: int) -> list[Rows]:
         """By the list service: what all have to hear now."""
--- a/onyxhollow/lab/evenness.py
+++ b/onyxhollow/lab/evenness.py
@@ -85,8 +85,11 @@
                 if side and (not turns[one.server] or turns[one.server][-1][1] != side):
                     turns[one.server].append((now, side))
         within = SWING_REPORTS * self.report_age
-        return sum(rows[place + 2][0] - rows[place][0] <= within
-                   for rows in turns.values() for place in range(len(rows) - 2))  # fmt: skip
+        return sum(
+            rows[place + 2][0] - rows[place][0] <= within
+            for rows in turns.values()
+            for place in range(len(rows) - 2)
+        )
 
     def herds(self) -> list[tuple[float, str, int, float, int]]:
         """Of each server in each span of a report's age to which something went: begin, name, connections,
@@ -129,14 +132,21 @@
             "idle_seconds": round(sum(end - begin for _, begin, end in idle), 1),
             "swings": self.swings(),
             "herd_p99": round(float(np.quantile(ratios, 0.99)), 4) if ratios else 0.0,
-            "herd_worst": {"at": round(worst[0], 2), "server": worst[1], "connections": worst[2],
-                           "ratio": round(worst[3], 3), "proxies": worst[4]},
-        }  # fmt: skip
+            "herd_worst": {
+                "at": round(worst[0], 2),
+                "server": worst[1],
+                "connections": worst[2],
+                "ratio": round(worst[3], 3),
+                "proxies": worst[4],
+            },
+        }
 
     def series(self) -> dict[str, Any]:
         return {
             "course": [[round(value, 4) for value in row] for row in self.course()],
             "idle": [[server, round(begin, 2), round(end, 2)] for server, begin, end in self.idle()],
-            "herds": [[round(at, 2), server, count, round(ratio, 3), proxies]
-                      for at, server, count, ratio, proxies in self.herds()],
-        }  # fmt: skip
+            "herds": [
+                [round(at, 2), server, count, round(ratio, 3), proxies]
+                for at, server, count, ratio, proxies in self.herds()
+            ],
+        }
--- a/onyxhollow/lab/experiment.py
+++ b/onyxhollow/lab/experiment.py
@@ -133,10 +133,17 @@
 
 def evenness(results: list[dict[str, Any]], policies: list[str]) -> dict[str, list[float]]:
     """Means over all runs of each policy, by figure. Runs kept from before these figures say nothing."""
-    by = {policy: [run["evenness"] for run in results if run["policy"] == policy and "evenness" in run]
-          for policy in policies}  # fmt: skip
-    return {name: [float(np.mean([row[name] for row in by[policy]])) if by[policy] else float("nan")
-                   for policy in policies] for name in EVEN}  # fmt: skip
+    by = {
+        policy: [run["evenness"] for run in results if run["policy"] == policy and "evenness" in run]
+        for policy in policies
+    }
+    return {
+        name: [
+            float(np.mean([row[name] for row in by[policy]])) if by[policy] else float("nan")
+            for policy in policies
+        ]
+        for name in EVEN
+    }
 
 
 @dataclass(frozen=True, slots=True)
--- a/onyxhollow/lab/fleet/demo.py
+++ b/onyxhollow/lab/fleet/demo.py
@@ -25,8 +25,10 @@
     shown.add_column("partners served")
     for place, (name, prefix) in enumerate(sites.prefixes.items()):
         rows = [WORDS[sites.standing(zone)[place]] for zone in sites.zones]
-        counts = {zone: sum(one.site == zone and one.prefix == prefix for one in sites.internet.partners)
-                  for zone in sites.zones}  # fmt: skip
+        counts = {
+            zone: sum(one.site == zone and one.prefix == prefix for one in sites.internet.partners)
+            for zone in sites.zones
+        }
         cells = [f"{row}, {counts[zone]} partners" for zone, row in zip(sites.zones, rows, strict=True)]
         shown.add_row(name, *cells, f"{sites.served(prefix):.0%}")
     last = [row for row in sites.decided() if row["standing"]][-4:]
--- a/onyxhollow/lab/fleet/explore.py
+++ b/onyxhollow/lab/fleet/explore.py
@@ -129,8 +129,19 @@
             for claim in self.claims
         )
         under_way = keyed(self.late), keyed(self.held)
-        return (self.tick, voters, claims, self.paused, self.cut, under_way, self.newest, self.last,
-                self.budget, self.disks_key(), self.lost)  # fmt: skip
+        return (
+            self.tick,
+            voters,
+            claims,
+            self.paused,
+            self.cut,
+            under_way,
+            self.newest,
+            self.last,
+            self.budget,
+            self.disks_key(),
+            self.lost,
+        )
 
     def disks_key(self) -> Any:
         return tuple(disk[-1:] for disk in self.disks)
@@ -336,8 +347,15 @@
 }
 
 
-def explore(budget: int, ticks: int, rates: str = "apart", most: int = 10**9, seconds: float = 1e9,
-            seed: int = 1, only: str = "") -> Explored:  # fmt: skip
+def explore(
+    budget: int,
+    ticks: int,
+    rates: str = "apart",
+    most: int = 10**9,
+    seconds: float = 1e9,
+    seed: int = 1,
+    only: str = "",
+) -> Explored:
     """Every run of so many ticks with at most so many faults, level by level. most, seconds: where it is cut
     off; which states of a level are gone on from is then drawn by the seed."""
     told, began, rng = Explored(), time.monotonic(), Random(seed)
--- a/onyxhollow/lab/fleet/places.py
+++ b/onyxhollow/lab/fleet/places.py
@@ -63,9 +63,10 @@
     "two excluded, the last ill": {2: told("exclude", "b", 1), 4: told("exclude", "c", 2), 20: ill("a")},
 }
 STEPS: tuple[str, ...] = (
-    "stop keeper", "voters away",
+    "stop keeper",
+    "voters away",
     *(f"{what} {site}" for what in ("stop announcer", "long stop", "cut", "speaker") for site in SITES),
-)  # fmt: skip
+)
 
 
 @dataclass
--- a/onyxhollow/lab/fleet/record.py
+++ b/onyxhollow/lab/fleet/record.py
@@ -95,8 +95,10 @@
             for other in rows[place + 1 :]:
                 if other.since >= one.until:
                     continue
-                verdict.overlaps.append(f"{duty}: {one.who} term {one.term} until {one.until:.3f}, "
-                                        f"{other.who} term {other.term} from {other.since:.3f}")  # fmt: skip
+                verdict.overlaps.append(
+                    f"{duty}: {one.who} term {one.term} until {one.until:.3f}, "
+                    f"{other.who} term {other.term} from {other.since:.3f}"
+                )
             if place and one.term <= rows[place - 1].term:
                 verdict.falling.append(f"{duty}: term {one.term} after {rows[place - 1].term}")
     ends = {(hold.duty, hold.term, hold.who): hold.until for hold in found}
--- a/onyxhollow/lab/fleet/rig.py
+++ b/onyxhollow/lab/fleet/rig.py
@@ -179,12 +179,23 @@
             "peersTotal": len(self.names),
             "zone": self.zones[name],
             "discovery": "on_request",
-            "listeners": [{"name": "chat", "semantics": "read_like", "handshakeTargetNs": 300000000,
-                           "dialTimeoutNs": 2000000000}],
+            "listeners": [
+                {
+                    "name": "chat",
+                    "semantics": "read_like",
+                    "handshakeTargetNs": 300000000,
+                    "dialTimeoutNs": 2000000000,
+                }
+            ],
             "ceilings": {"mostDials": 3, "probes": False, "cancelling": True, "connectTimeoutNs": 250000000},
-            "rules": {"askWithinNs": round(self.ask_within * 1e9), "coldNs": 1000000000, "coldShare": 1.0,
-                      "fallMultiple": 3.0, "fallNs": 2000000000},
-        }  # fmt: skip
+            "rules": {
+                "askWithinNs": round(self.ask_within * 1e9),
+                "coldNs": 1000000000,
+                "coldShare": 1.0,
+                "fallMultiple": 3.0,
+                "fallNs": 2000000000,
+            },
+        }
         config = self.folder / f"{process.title}.json"
         config.write_bytes(
             orjson.dumps(
@@ -323,8 +334,9 @@
     ) -> list[Rule]:
         return self.harm(CUT, source, target, both)
 
-    def harm(self, harm: Harm, source: Iterable[str] | None, target: Iterable[str] | None,
-             both: bool = True) -> list[Rule]:  # fmt: skip
+    def harm(
+        self, harm: Harm, source: Iterable[str] | None, target: Iterable[str] | None, both: bool = True
+    ) -> list[Rule]:
         first, second = (None if side is None else list(side) for side in (source, target))
         rules = [self.links.put(harm, first, second)]
         if both and (first, second) != (second, first):
@@ -372,8 +384,11 @@
             f"{name}: {'stopped' if p.stopped else 'up' if p.alive else 'down'}"
             for name, p in self.now_by.items()
         ]
-        turns = [f"{line.process} {line.told['change']} {line.told['duty']} {line.told['term']}"
-                 for line in self.lines if line.event == "duty"]  # fmt: skip
+        turns = [
+            f"{line.process} {line.told['change']} {line.told['duty']} {line.told['term']}"
+            for line in self.lines
+            if line.event == "duty"
+        ]
         bad = [
             f"{line.process}: {line.told.get('trace', '')[-300:]}"
             for line in self.lines
@@ -413,8 +428,13 @@
     # what is seen
 
     def said(self, process: str, event: str, **values: Any) -> list[Line]:
-        return [line for line in self.lines if line.process == process and line.event == event
-                and all(line.told.get(name) == value for name, value in values.items())]  # fmt: skip
+        return [
+            line
+            for line in self.lines
+            if line.process == process
+            and line.event == event
+            and all(line.told.get(name) == value for name, value in values.items())
+        ]
 
     def ask_rests(self) -> list[bool]:
         """Of each member that is up, whether it is told the list and does not ask for itself."""
--- a/onyxhollow/lab/fleet/sites.py
+++ b/onyxhollow/lab/fleet/sites.py
@@ -25,13 +25,25 @@
     "report": {"how": "probe", "fields": ["x0"]},
     # What customers may hold tells many balancers with few connections what fills a server.
     "tenants": [{"name": "partners", "share": 1.0}],
-    "extra": {"reportX0": "load asked of the server over what it can do", "tellsLoad": True,
-              "tenantQuotaConnections": [8000.0]},
+    "extra": {
+        "reportX0": "load asked of the server over what it can do",
+        "tellsLoad": True,
+        "tenantQuotaConnections": [8000.0],
+    },
 }
 QUICK = {
-    "least": 1, "most_at_once": 1, "window": 3.0, "ill_for": 1.5, "dead_for": 1.0, "well_for": 2.0,
-    "step": 0.8, "drain_for": 4.0, "cut_off_after": 3.0, "fresh": 1.5, "flap_half_life": 30.0,
-}  # fmt: skip
+    "least": 1,
+    "most_at_once": 1,
+    "window": 3.0,
+    "ill_for": 1.5,
+    "dead_for": 1.0,
+    "well_for": 2.0,
+    "step": 0.8,
+    "drain_for": 4.0,
+    "cut_off_after": 3.0,
+    "fresh": 1.5,
+    "flap_half_life": 30.0,
+}
 COUNTS = ("least", "most_at_once")  # keys of QUICK that are no seconds
 ECHOES = 0.7  # seconds without an echo past which a partner is not served
 TOO_LATE = 5.0  # seconds for each time of its capacity that a server is over: 1.2 of it is not served
@@ -44,9 +56,14 @@
         # An address of its own: on 127.0.0.1 its port could go to somebody's outgoing connection meanwhile.
         self.address = free_address(f"127.4.0.{ord(site[0]) % 100 + 1}", socket.SOCK_STREAM)
         self.path, self.log = folder / f"gate-{site}.toml", folder / f"gate-{site}.log"
-        self.told = {"addresses": "addresses.toml", "site": site, "listen": text(self.address),
-                     "speaker": text(speaker.address), "folder": f"gate-{site}",
-                     "orphaned_after": orphaned_after}  # fmt: skip
+        self.told = {
+            "addresses": "addresses.toml",
+            "site": site,
+            "listen": text(self.address),
+            "speaker": text(speaker.address),
+            "folder": f"gate-{site}",
+            "orphaned_after": orphaned_after,
+        }
         self.child: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -54,9 +71,13 @@
         with self.log.open("ab") as log:
             self.child = subprocess.Popen(
                 [sys.executable, "-O", "-m", "onyxhollow", "gate", "--config", str(self.path)],
-                stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT, cwd=ROOT,
-                start_new_session=True, env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
-            )  # fmt: skip
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                cwd=ROOT,
+                start_new_session=True,
+                env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
+            )
 
     def end(self, how: int = signal.SIGKILL) -> None:
         if self.child is not None and self.child.poll() is None:
@@ -91,8 +112,16 @@
         and full ones answer too late to serve; slower: times by which all that is told and awaited is slower,
         for as many as one machine can hold."""
         self.zones = tuple("abcdefghijklmnopqrst"[:sites])
-        self.rig = Rig(folder, members=sites * each, zones=self.zones, servers=sites * servers, duties=[],
-                       settings=ASKED, more={"addresses": "addresses.toml"}, **values)  # fmt: skip
+        self.rig = Rig(
+            folder,
+            members=sites * each,
+            zones=self.zones,
+            servers=sites * servers,
+            duties=[],
+            settings=ASKED,
+            more={"addresses": "addresses.toml"},
+            **values,
+        )
         rig = self.rig
         self.speakers = {zone: Speaker(rig.loop, zone) for zone in self.zones}
         self.gates = {
@@ -100,15 +129,24 @@
         }
         self.prefixes = {f"addr{n}": f"198.51.100.{n}/32" for n in range(addresses)}
         self.told = {
-            "service": [{"name": name, "prefix": prefix, "listeners": ["chat"], "owner": "voice"}
-                        for name, prefix in self.prefixes.items()],
-            "site": [{"name": zone, "gate": text(self.gates[zone].address), "capacity": capacity,
-                      "cut_off": "keep" if zone == self.zones[-1] else cut_off} for zone in self.zones],
+            "service": [
+                {"name": name, "prefix": prefix, "listeners": ["chat"], "owner": "voice"}
+                for name, prefix in self.prefixes.items()
+            ],
+            "site": [
+                {
+                    "name": zone,
+                    "gate": text(self.gates[zone].address),
+                    "capacity": capacity,
+                    "cut_off": "keep" if zone == self.zones[-1] else cut_off,
+                }
+                for zone in self.zones
+            ],
             "policy": {key: value * slower if key not in COUNTS else value for key, value in QUICK.items()}
             | (policy or {}),
             "every": 0.25 * slower,
             "synthetic": 0.5 * slower * slower,
-        }  # fmt: skip
+        }
         (folder / "addresses.toml").write_text(tomli_w.dumps(self.told))
         late = TOO_LATE if own_servers else 0.0
         self.echo = [EchoServer(rig.loop, 0.1, each_load, late) for _ in range(sites * servers)]
@@ -234,5 +272,3 @@
 
     def __exit__(self, *_: object) -> None:
         self.close()
-
-
--- a/onyxhollow/lab/fleet/stands.py
+++ b/onyxhollow/lab/fleet/stands.py
@@ -234,8 +234,11 @@
         self.waiting.pop(caller, None)
         whole = seen < 0
         site = self.sites.get(caller.desk.member, "")
-        rows = [row for name, row in self.rows.items()
-                if (whole or self.versions[name] > seen) and site in ("", row["site"])]  # fmt: skip
+        rows = [
+            row
+            for name, row in self.rows.items()
+            if (whole or self.versions[name] > seen) and site in ("", row["site"])
+        ]
         caller.answer(200, orjson.dumps({"seq": self.version, "whole": whole, "hosts": rows}))
 
     def left(self, caller: Caller) -> None:
--- a/onyxhollow/lab/fleet/wander.py
+++ b/onyxhollow/lab/fleet/wander.py
@@ -40,8 +40,19 @@
 
 STEP = 0.25
 SITES, NAMES, VOTERS = ("a", "b", "c"), ("x", "y"), ("v0", "v1", "v2")
-POLICY = Policy(least=1, most_at_once=1, window=4.0, ill_for=1.5, dead_for=1.0, well_for=2.0, step=0.75,
-                cut_off_after=4.0, fresh=1.5, drain_for=3.0, flap_half_life=20.0)  # fmt: skip
+POLICY = Policy(
+    least=1,
+    most_at_once=1,
+    window=4.0,
+    ill_for=1.5,
+    dead_for=1.0,
+    well_for=2.0,
+    step=0.75,
+    cut_off_after=4.0,
+    fresh=1.5,
+    drain_for=3.0,
+    flap_half_life=20.0,
+)
 TOLD = AddressesFile(
     service=[Service(name=name, prefix=f"198.51.100.{place}/32") for place, name in enumerate(NAMES)],
     site=[Site(name=site, gate="127.0.0.1:1", capacity=100.0) for site in SITES],
@@ -78,9 +89,7 @@
     def __init__(self, seed: int) -> None:
         self.rng, self.now, self.number = Random(seed), 0.0, 0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.places = {
-            site.name: Place(site.name, Table(TOLD.service, site, 64512)) for site in TOLD.site
-        }
+        self.places = {site.name: Place(site.name, Table(TOLD.service, site, 64512)) for site in TOLD.site}
         self.keepers: list[Member] = []
         self.keeper_term = self.announcer_term = 0
         self.books = {voter: Book() for voter in VOTERS}
@@ -252,16 +261,22 @@
         self.terms[place.name] = max(holder.term, self.terms.get(place.name, 0))
         by_itself = (name, place.name) in self.own_will and after is Standing.WITHDRAWN
         self.own_will.discard((name, place.name))
-        kept = [row for row in self.rows.values()
-                if (row.address, row.site, row.standing) == (name, place.name, int(after))
-                and sum(mark(row) in told for told in self.decided.values()) >= 2]  # fmt: skip
+        kept = [
+            row
+            for row in self.rows.values()
+            if (row.address, row.site, row.standing) == (name, place.name, int(after))
+            and sum(mark(row) in told for told in self.decided.values()) >= 2
+        ]
         if not kept and not by_itself:
             self.breach(f"{name} at {place.name}: {after.name} without a line on two voters' disks")
         if after is not Standing.WITHDRAWN:
             self.out_at.pop((name, place.name), None)
             return
-        others = sum(one.table.stands[name] is not Standing.WITHDRAWN
-                     for one in self.places.values() if one is not place)  # fmt: skip
+        others = sum(
+            one.table.stands[name] is not Standing.WITHDRAWN
+            for one in self.places.values()
+            if one is not place
+        )
         if others < POLICY.least and not by_itself:
             self.breach(f"{name}: withdrawn at {place.name}, {others} others advertise it")
         if not by_itself and kept and max(kept, key=lambda row: (row.term, row.number)).cause == HEALTH:
@@ -322,8 +337,21 @@
     def fault(self) -> None:
         rng = self.rng
         place = self.places[rng.choice(SITES)]
-        kinds = ("ill", "ill", "well", "stop keeper", "stop announcer", "cut", "mend", "away", "speaker",
-                 "order", "order", "order", "load")  # fmt: skip
+        kinds = (
+            "ill",
+            "ill",
+            "well",
+            "stop keeper",
+            "stop announcer",
+            "cut",
+            "mend",
+            "away",
+            "speaker",
+            "order",
+            "order",
+            "order",
+            "load",
+        )
         kind = rng.choice(kinds)
         if kind == "ill":
             place.health = rng.choice((0.0, 0.05, 0.3, 0.5))
@@ -481,5 +509,3 @@
             if broken := World(seed).play(12):
                 return f"seed {seed}: {broken[0]}"
     return ""
-
-
--- a/onyxhollow/lab/pictures.py
+++ b/onyxhollow/lab/pictures.py
@@ -15,25 +15,46 @@
 def view(instance: Instance, members: list[Member]) -> View:
     now, balancer, zone = instance.now, instance.balancer, instance.world.zone_name(instance.zone)
     servers = [
-        Server(s.name, s.zone, s.readiness.value, len(s.connections), s.size,
-               round(s.load, 3) if now - s.load_at < OLD else None,
-               round(now - s.load_at, 1) if now - s.load_at < OLD else None,
-               round(s.score(now), 2), s.arrival is not None)
+        Server(
+            s.name,
+            s.zone,
+            s.readiness.value,
+            len(s.connections),
+            s.size,
+            round(s.load, 3) if now - s.load_at < OLD else None,
+            round(now - s.load_at, 1) if now - s.load_at < OLD else None,
+            round(s.score(now), 2),
+            s.arrival is not None,
+        )
         for s in sorted(balancer.servers.values(), key=lambda s: s.name)
-    ]  # fmt: skip
+    ]
     stalled = instance.stalled_until > now
-    return View(f"n{instance.number}", zone, "", "in service", stalled=instance.stalled_until - now if stalled
-                else 0.0, stalled_ago=0.0 if stalled else None, members=members, servers=servers,
-                list_state=ListState(instance.seen))  # fmt: skip
+    return View(
+        f"n{instance.number}",
+        zone,
+        "",
+        "in service",
+        stalled=instance.stalled_until - now if stalled else 0.0,
+        stalled_ago=0.0 if stalled else None,
+        members=members,
+        servers=servers,
+        list_state=ListState(instance.seen),
+    )
 
 
 def taken(engine: Virtual) -> Snapshot:
     """As it stands now; a proxy that is down is told as silent. at: seconds since the run began."""
     number_of = engine.scenario.fleet.proxies
     up = {number for number, instance in engine.instances.items() if instance.alive}
-    members = [Member(f"n{number}", 0, "alive" if number in up else "dead",
-                      engine.world.zone_name(engine.world.proxies[number].zone))
-               for number in range(number_of)]  # fmt: skip
+    members = [
+        Member(
+            f"n{number}",
+            0,
+            "alive" if number in up else "dead",
+            engine.world.zone_name(engine.world.proxies[number].zone),
+        )
+        for number in range(number_of)
+    ]
     views = [view(engine.instances[number], members) for number in sorted(up)]
     silent = [Silent(f"n{number}", "down") for number in range(number_of) if number not in up]
     return Snapshot(engine.world.agenda.now, views, silent)
--- a/onyxhollow/lab/sockets/engine.py
+++ b/onyxhollow/lab/sockets/engine.py
@@ -125,8 +125,9 @@
 class Sockets:
     notices_silence = True  # the proxies do, by themselves
 
-    def __init__(self, scenario: Scenario, seed: int, folder: Path, in_fleet: bool = False,
-                 sharing: bool = False) -> None:  # fmt: skip
+    def __init__(
+        self, scenario: Scenario, seed: int, folder: Path, in_fleet: bool = False, sharing: bool = False
+    ) -> None:
         """in_fleet: the proxies form one; sharing: they tell one another of servers."""
         self.scenario, self.seed, self.folder, self.in_fleet = scenario, seed, folder, in_fleet
         self.world = World(scenario, seed)
--- a/onyxhollow/lab/together.py
+++ b/onyxhollow/lab/together.py
@@ -117,8 +117,14 @@
     def lie(self, page: Page) -> Page:
         """Old news as new, loads turned round."""
         rows = [
-            msgspec.structs.replace(row, age=0, number=row.number + 1, load_age=0,
-                                    load=max(0, 1300 - row.load), held=self.rng.randrange(2000))
+            msgspec.structs.replace(
+                row,
+                age=0,
+                number=row.number + 1,
+                load_age=0,
+                load=max(0, 1300 - row.load),
+                held=self.rng.randrange(2000),
+            )
             for row in page.rows
-        ]  # fmt: skip
+        ]
         return Page(rows)
--- a/onyxhollow/lab/virtual.py
+++ b/onyxhollow/lab/virtual.py
@@ -335,8 +335,14 @@
 class Virtual:
     """The engine: one Instance a proxy that lives."""
 
-    def __init__(self, scenario: Scenario, seed: int, maker: Maker, terms: Terms | None = None,
-                 trouble: Trouble | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        maker: Maker,
+        terms: Terms | None = None,
+        trouble: Trouble | None = None,
+    ) -> None:
         """terms: the members tell one another of servers; trouble: what is done to that."""
         self.scenario, self.maker = scenario, maker
         self.world = World(scenario, seed)
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -63,8 +63,15 @@
 
 
 class Proxy:
-    def __init__(self, config: Config, clock_ahead: float, out: int, read_again: Callable[[], Config],
-                 given: socket.socket | None = None, handover: Handover | None = None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        config: Config,
+        clock_ahead: float,
+        out: int,
+        read_again: Callable[[], Config],
+        given: socket.socket | None = None,
+        handover: Handover | None = None,
+    ) -> None:
         self.config, self.read_again = config, read_again
         self.counters, self.pool, self.addresses = Counters(), BufferPool(), Addresses()
         self.log = Log(out, config.name)
@@ -79,26 +86,52 @@
         for name, address in config.known.addresses.items():
             self.addresses.learn(name, address)
         self.discovery = Discovery(
-            self.loop, self.pool, self.counters, config.discovery,
-            wait=watch_wait(settings.ask_within, settings.balancers), clock_ahead=clock_ahead,
-            version=config.known.version, pushed=not settings.watched, addresses=self.addresses,
-            told=self.list_told, log=self.log.event, seed=config.seed, soon=follows,
-        )  # fmt: skip
+            self.loop,
+            self.pool,
+            self.counters,
+            config.discovery,
+            wait=watch_wait(settings.ask_within, settings.balancers),
+            clock_ahead=clock_ahead,
+            version=config.known.version,
+            pushed=not settings.watched,
+            addresses=self.addresses,
+            told=self.list_told,
+            log=self.log.event,
+            seed=config.seed,
+            soon=follows,
+        )
         self.probes = Probes(
-            self.loop, self.pool, self.counters, self.addresses, settings.load_field, config.probe_time,
+            self.loop,
+            self.pool,
+            self.counters,
+            self.addresses,
+            settings.load_field,
+            config.probe_time,
             told=self.probe_told,
-        )  # fmt: skip
+        )
         self.facade = Facade(
-            lambda: self.loop.now, settings, config.seed, self.counters,
+            lambda: self.loop.now,
+            settings,
+            config.seed,
+            self.counters,
             log=lambda line: self.log.event("mode", line=line),
-            probe=self.probes.probe, watch=self.discovery.ask,
-        )  # fmt: skip
+            probe=self.probes.probe,
+            watch=self.discovery.ask,
+        )
         self.facade.report_list(ListKind.CACHED, config.known.entries)
         self.sessions = Sessions(
-            self.loop, self.pool, self.counters, self.addresses, self.facade, settings.listeners,
-            settings.customers, settings.load_field, config.connect_time, self.service,
+            self.loop,
+            self.pool,
+            self.counters,
+            self.addresses,
+            self.facade,
+            settings.listeners,
+            settings.customers,
+            settings.load_field,
+            config.connect_time,
+            self.service,
             self.log.event,
-        )  # fmt: skip
+        )
         self.parts: list[Part] = []
         self.routes: dict[str, dict[str, Callable[[str], Answer]]] = {
             "/control/ready": {"GET": self.tell_ready},
@@ -143,13 +176,20 @@
         counts = self.counters.counts
         listed, down = self.facade.avoided()
         refused = counts["reloads refused"]
-        values = (("backend_calls_total", counts["dials written whole"]), ("inflight", self.sessions.taken),
-                  ("hosts_listed", listed), ("hosts_down", down),
-                  ("reconfig_ok_total", counts["reloads"] - refused),
-                  ("reconfig_failed_total", refused))  # fmt: skip
+        values = (
+            ("backend_calls_total", counts["dials written whole"]),
+            ("inflight", self.sessions.taken),
+            ("hosts_listed", listed),
+            ("hosts_down", down),
+            ("reconfig_ok_total", counts["reloads"] - refused),
+            ("reconfig_failed_total", refused),
+        )
         ends = self.counters.ends
-        by_tier = (("success_total", ends[ACCEPTED]), ("busy_total", ends[REFUSED]),
-                   ("failure_total", ends[TORN_DOWN]))  # fmt: skip
+        by_tier = (
+            ("success_total", ends[ACCEPTED]),
+            ("busy_total", ends[REFUSED]),
+            ("failure_total", ends[TORN_DOWN]),
+        )
         return 200, figures.render(by_tier, values), figures.TEXT
 
     def out_of_service(self, _: str) -> Answer:
@@ -391,8 +431,13 @@
 
         self.loop.watch(reader.fileno(), READ, told)
         gc.freeze()
-        self.log.event("start", listen=self.config.listen, servers=len(self.config.known.entries),
-                       sockets=self.config.sockets, memory=self.config.memory >> 20)  # fmt: skip
+        self.log.event(
+            "start",
+            listen=self.config.listen,
+            servers=len(self.config.known.entries),
+            sockets=self.config.sockets,
+            memory=self.config.memory >> 20,
+        )
         self.loop.run()
         self.print_counters()
 
@@ -409,8 +454,13 @@
             self.log.event("reload refused", why=str(error)[:200])
             return
         changed = fresh.settings != self.config.settings
-        self.log.event("reload", discovery=fresh.discovery, sockets=fresh.sockets, memory=fresh.memory >> 20,
-                       settings=changed)  # fmt: skip
+        self.log.event(
+            "reload",
+            discovery=fresh.discovery,
+            sockets=fresh.sockets,
+            memory=fresh.memory >> 20,
+            settings=changed,
+        )
         self.config = fresh
         self.take_limits(fresh)
         if changed:
@@ -430,8 +480,11 @@
         self.facade.resettle(settings)
 
     def print_counters(self) -> None:
-        gauges = {"live": len(self.sessions.table), "connections": self.pool.open,
-                  "log lines dropped": self.log.dropped}  # fmt: skip
+        gauges = {
+            "live": len(self.sessions.table),
+            "connections": self.pool.open,
+            "log lines dropped": self.log.dropped,
+        }
         self.log.event("counters", **self.counters.snapshot(), **gauges)
 
     def stop(self) -> Generator[float, None, None]:
@@ -489,8 +542,9 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
-def serve(config: Config, path: str, clock_ahead: float,
-          attach: Callable[[Proxy], None] = lambda proxy: None) -> int:  # fmt: skip
+def serve(
+    config: Config, path: str, clock_ahead: float, attach: Callable[[Proxy], None] = lambda proxy: None
+) -> int:
     """attach: puts further parts on the proxy, before its loop runs."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before the loop runs must not end it
     raise_descriptor_limit()
@@ -501,8 +555,14 @@
             given = given_socket(told)
             with contextlib.suppress(OSError):  # no such folder: nothing is handed over
                 handover = Handover(os.environ.get("TMPDIR", ""))
-        proxy = Proxy(config, clock_ahead, sys.stdout.fileno(),
-                      lambda: read_config(path, clock_ahead, again=True), given, handover)  # fmt: skip
+        proxy = Proxy(
+            config,
+            clock_ahead,
+            sys.stdout.fileno(),
+            lambda: read_config(path, clock_ahead, again=True),
+            given,
+            handover,
+        )
         attach(proxy)
     except ListenError as error:
         sys.stderr.write(f"onyxhollow: {path}: {error}\n")
--- a/onyxhollow/membership/seal.py
+++ b/onyxhollow/membership/seal.py
@@ -60,8 +60,10 @@
         why = ""
         if not SEAL < len(datagram) <= LARGEST:
             why = "size"
-        elif not any(hmac.compare_digest(hmac.digest(key, datagram[SEAL:], hashlib.sha256)[:SEAL],
-                                         datagram[:SEAL]) for key in self.keys):  # fmt: skip
+        elif not any(
+            hmac.compare_digest(hmac.digest(key, datagram[SEAL:], hashlib.sha256)[:SEAL], datagram[:SEAL])
+            for key in self.keys
+        ):
             why = "seal"
         if why:
             self.dropped[why] += 1
--- a/onyxhollow/membership/swim.py
+++ b/onyxhollow/membership/swim.py
@@ -400,8 +400,16 @@
 
     def row(self, member: Member) -> Update:
         by = min(member.suspected_by, default="") if member.life is Life.SUSPECT else ""
-        return Update(member.name, member.epoch, member.incarnation, member.life, member.address, member.zone,
-                      member.flags, by)  # fmt: skip
+        return Update(
+            member.name,
+            member.epoch,
+            member.incarnation,
+            member.life,
+            member.address,
+            member.zone,
+            member.flags,
+            by,
+        )
 
     def renew(self, incarnation: int, flags: int) -> None:
         self.me = replace(self.me, incarnation=incarnation, flags=flags)
@@ -527,8 +535,10 @@
         if member.life is not Life.ALIVE or not self.joined:
             told.append(encode(self.me))
         room = ROOM - sum(map(len, told))
-        most = max(math.ceil(self.terms.retold * max(1.0, math.log10(self.size() + 1))),
-                   min(self.size() - 1, ALL_TOLD))  # fmt: skip
+        most = max(
+            math.ceil(self.terms.retold * max(1.0, math.log10(self.size() + 1))),
+            min(self.size() - 1, ALL_TOLD),
+        )
         for key, news in sorted(self.news.items(), key=lambda row: len(row[1].told)):
             if len(news.text) > room or member.address in news.told:
                 continue
--- a/onyxhollow/operations/management.py
+++ b/onyxhollow/operations/management.py
@@ -137,7 +137,10 @@
         if allowed:
             headers.append(("Allow", allowed))
         head_only = self.asked is not None and self.asked.method == b"HEAD"
-        parts = [h11.Response(status_code=status, headers=headers),
-                 *([] if head_only else [h11.Data(data=body)]), h11.EndOfMessage()]  # fmt: skip
+        parts = [
+            h11.Response(status_code=status, headers=headers),
+            *([] if head_only else [h11.Data(data=body)]),
+            h11.EndOfMessage(),
+        ]
         self.channel.write(b"".join(self.speaker.send(part) or b"" for part in parts))
         self.channel.finish(PATIENCE)
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -123,8 +123,16 @@
 class Session:
     """The handle of one session. All that happens to it after take is a call here."""
 
-    def __init__(self, balancer: Balancer, token: Hashable, listener: Listener, customer: Customer | None,
-                 group: Hashable, give_up: float, load: float | None) -> None:  # fmt: skip
+    def __init__(
+        self,
+        balancer: Balancer,
+        token: Hashable,
+        listener: Listener,
+        customer: Customer | None,
+        group: Hashable,
+        give_up: float,
+        load: float | None,
+    ) -> None:
         self.balancer, self.token, self.listener, self.customer = balancer, token, listener, customer
         self.payer = customer.name if customer else ""
         self.group, self.give_up, self.load, self.most_dials = group, give_up, load, balancer.most_dials
@@ -255,8 +263,9 @@
         self.most_dials, self.cancelling = settings.most_dials, settings.cancelling
         self.retry_after, self.share_groups = settings.retry_after, settings.groups
         self.live_sizes, self.ask_within = settings.live_sizes, settings.ask_within
-        self.budget.settle(settings.cold_share, settings.cold_time, settings.fall_multiple,
-                           settings.me / settings.balancers)  # fmt: skip
+        self.budget.settle(
+            settings.cold_share, settings.cold_time, settings.fall_multiple, settings.me / settings.balancers
+        )
         self.callers = max(1.0, settings.balancers / LIST_CALLS)  # seconds that the calls of all take
         self.quota = sum(c.connections for c in settings.customers.values()) / settings.balancers
         self.probes = PROBE_POINTS / max(1e-4, settings.probe_price) if settings.probes else 0.0  # a session
@@ -277,8 +286,10 @@
             self.demand.clear()
         self.list_lost = settings.watched or self.list_failures > 0
         self.settle(settings)
-        self.host.log(f"settings: live weights {self.live_sizes}, groups {self.share_groups}, probes "
-                      f"{self.probes:g}, balancers {self.balancers}, own connections {self.held.total()}")
+        self.host.log(
+            f"settings: live weights {self.live_sizes}, groups {self.share_groups}, probes "
+            f"{self.probes:g}, balancers {self.balancers}, own connections {self.held.total()}"
+        )
         self.draw_working()
 
     def later(self, wait: float, call: Callable[[], None]) -> None:
@@ -357,10 +368,13 @@
 
     def well(self, server: Server, sess: Session | None = None) -> bool:
         now = self.host.now
-        return (server.readiness is Readiness.IN_SERVICE and self.load_of(server) < FULL_LOAD
-                and now - server.strained_at >= STRAIN_FOR * (3 if self.blind else 1)  # nobody says: over
-                and server.score(now) <= self.bar
-                and not (sess and (server.leaving or not sess.may_go_to(server, now))))  # fmt: skip
+        return (
+            server.readiness is Readiness.IN_SERVICE
+            and self.load_of(server) < FULL_LOAD
+            and now - server.strained_at >= STRAIN_FOR * (3 if self.blind else 1)  # nobody says: over
+            and server.score(now) <= self.bar
+            and not (sess and (server.leaving or not sess.may_go_to(server, now)))
+        )
 
     def server_list(self, kind: ListKind, entries: Iterable[Entry]) -> None:
         if kind is ListKind.FAILED:
@@ -462,8 +476,12 @@
         now = self.host.now
         if source.leaving is not pace:
             return
-        mended = (source.readiness is Readiness.IN_SERVICE and source.score(now) < DISTRUSTED / 2
-                  and self.load_of(source) < SHED_LOAD and now - source.strained_at >= STRAIN_FOR)
+        mended = (
+            source.readiness is Readiness.IN_SERVICE
+            and source.score(now) < DISTRUSTED / 2
+            and self.load_of(source) < SHED_LOAD
+            and now - source.strained_at >= STRAIN_FOR
+        )
         if mended or not source.connections:
             self.host.log(f"hand-off {source.name} ends: moved {pace.moved} of {pace.count}")
             source.leaving = None
@@ -547,8 +565,15 @@
         near, some = [s for s in rest if s in self.near], self.rng.sample
         return some(near, min(2, len(near))) + some(rest, min(1 if near else 2, len(rest)))
 
-    def take(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
-             time_left: float, load: float | None) -> Session:  # fmt: skip
+    def take(
+        self,
+        token: Hashable,
+        listener: Listener,
+        customer: Customer | None,
+        group: Hashable,
+        time_left: float,
+        load: float | None,
+    ) -> Session:
         sess = Session(self, token, listener, customer, group, self.host.now + time_left, load)
         self.budget.arrived(self.host.now)
         if self.share_groups:
@@ -558,8 +583,15 @@
         self.dial(sess)
         return sess
 
-    def adopt(self, token: Hashable, listener: Listener, customer: Customer | None, group: Hashable,
-              load: float | None, name: str) -> Session | None:  # fmt: skip
+    def adopt(
+        self,
+        token: Hashable,
+        listener: Listener,
+        customer: Customer | None,
+        group: Hashable,
+        load: float | None,
+        name: str,
+    ) -> Session | None:
         """A connection that stood before this balancer started: counted, but not moved off a drain."""
         if (server := self.servers.get(name)) is None:
             return None
@@ -572,8 +604,12 @@
         if sess.answered or sess.dialling:
             return
         now, left = self.host.now, sess.give_up - self.host.now
-        spent = (left <= 0 or len(sess.tried) >= sess.most_dials
-                 or len(sess.tried) > 0 and not any(sess.may_go_to(s, now) for s in self.fleet))  # fmt: skip
+        spent = (
+            left <= 0
+            or len(sess.tried) >= sess.most_dials
+            or len(sess.tried) > 0
+            and not any(sess.may_go_to(s, now) for s in self.fleet)
+        )
         server = None if spent else self.pick(sess)
         if server is None or self.asking(sess, server, now):
             if not spent and now < sess.hold_until:
@@ -671,8 +707,15 @@
             self.host.probe(server.name)
         self.later(1.0 / min(1.0 / TICK, max(rate, 0.2)), self.probe_round)
 
-    def probed(self, name: str, end: DialEnd, took: float, load: float | None, age: float = 0.0,
-               held: float | None = None) -> None:  # held: open connections of all balancers, where they tell
+    def probed(
+        self,
+        name: str,
+        end: DialEnd,
+        took: float,
+        load: float | None,
+        age: float = 0.0,
+        held: float | None = None,
+    ) -> None:  # held: open connections of all balancers, where they tell
         if (server := self.servers.get(name)) and held is not None and not self.live_sizes:
             server.held, server.held_at = held / server.size, self.host.now - age
         if server and end is DialEnd.OK and load is not None:
--- a/onyxhollow/recall.py
+++ b/onyxhollow/recall.py
@@ -37,15 +37,20 @@
     }
     records = [
         {
-            "name": server.name, "heard": server.heard,
-            "load": balancer.load_of(server), "load_age": age(server.load_at, now),
-            "distrust": server.score(now), "strained_age": age(server.strained_at, now),
-            "set_up": figure(server.set_up, now), "delay": figure(server.delay, now),
+            "name": server.name,
+            "heard": server.heard,
+            "load": balancer.load_of(server),
+            "load_age": age(server.load_at, now),
+            "distrust": server.score(now),
+            "strained_age": age(server.strained_at, now),
+            "set_up": figure(server.set_up, now),
+            "delay": figure(server.delay, now),
             "arrival": [server.arrival.count, server.arrival.moved] if server.arrival else None,
             "tokens": budget.grow(server, balancer.fill, now) if budget.cold(server, now) else None,
         }
-        for server in balancer.servers.values() if server.readiness is not Readiness.GONE
-    ]  # fmt: skip
+        for server in balancer.servers.values()
+        if server.readiness is not Readiness.GONE
+    ]
     return common, records
 
 
@@ -71,9 +76,19 @@
         if (server := balancer.servers.get(row["name"])) is None:
             continue
         ages = [None if row[name] is None else checked(row[name]) for name in ("load_age", "strained_age")]
-        plans.append((server, row["heard"] is True, ages, checked(row["load"]), checked(row["distrust"]),
-                      pair(row["set_up"]), pair(row["delay"]), pair(row["arrival"]),
-                      None if row["tokens"] is None else checked(row["tokens"])))  # fmt: skip
+        plans.append(
+            (
+                server,
+                row["heard"] is True,
+                ages,
+                checked(row["load"]),
+                checked(row["distrust"]),
+                pair(row["set_up"]),
+                pair(row["delay"]),
+                pair(row["arrival"]),
+                None if row["tokens"] is None else checked(row["tokens"]),
+            )
+        )
     if taken:
         span = min(taken[1], balancer.budget.MEMORY)
         balancer.budget.since, balancer.budget.at = now - taken[1], now
@@ -99,8 +114,9 @@
         known.value, known.at = told[0], now - told[1]
 
 
-def recall_arrival(balancer: Balancer, server: Server, arrival: tuple[float, float] | None,
-                   tokens: float | None, now: float) -> None:  # fmt: skip
+def recall_arrival(
+    balancer: Balancer, server: Server, arrival: tuple[float, float] | None, tokens: float | None, now: float
+) -> None:
     """Both processes together keep the cold budget: what the one before has spent is spent."""
     server.arrival = None
     if arrival:
--- a/onyxhollow/records.py
+++ b/onyxhollow/records.py
@@ -31,8 +31,9 @@
 
 
 def pack(bodies: Iterable[bytes], first: int = 0) -> bytes:
-    return b"".join(HEAD.pack(len(body), checksum(number, body)) + body
-                    for number, body in enumerate(bodies, first))  # fmt: skip
+    return b"".join(
+        HEAD.pack(len(body), checksum(number, body)) + body for number, body in enumerate(bodies, first)
+    )
 
 
 def unpack(text: bytes) -> tuple[list[bytes], int, str]:
--- a/onyxhollow/sharing/core.py
+++ b/onyxhollow/sharing/core.py
@@ -229,8 +229,13 @@
             return
         if row.by == self.epoch:
             return
-        sane = (0 <= row.age <= OLDEST * 1000 and -1 <= row.load <= MOST_LOAD and row.load_age >= 0
-                and 0 <= row.held <= MOST_HELD and row.doubters >= 0)  # fmt: skip
+        sane = (
+            0 <= row.age <= OLDEST * 1000
+            and -1 <= row.load <= MOST_LOAD
+            and row.load_age >= 0
+            and 0 <= row.held <= MOST_HELD
+            and row.doubters >= 0
+        )
         if not sane:
             self.counts["rows absurd or old"] += 1
             return
@@ -351,8 +356,16 @@
                 self.number += 1
                 fresh = now - kept.load_at <= OLDEST
                 load_age = round(1000 * (now - kept.load_at)) if fresh else 0
-                row = Row(server, self.epoch, self.number, 0, kept.carried(held) if fresh else -1, load_age,
-                          held, doubters)  # fmt: skip
+                row = Row(
+                    server,
+                    self.epoch,
+                    self.number,
+                    0,
+                    kept.carried(held) if fresh else -1,
+                    load_age,
+                    held,
+                    doubters,
+                )
                 self.put(row, now, now)
 
     def tell_counts(self, own: Mapping[str, int], now: float) -> None:
@@ -402,8 +415,9 @@
                 break
             known.told += self.terms.fan
             age = round(1000 * (now - known.at))
-            rows.append(Row(row.server, row.by, row.number, age, row.load, row.load_age, row.held,
-                            row.doubters))  # fmt: skip
+            rows.append(
+                Row(row.server, row.by, row.number, age, row.load, row.load_age, row.held, row.doubters)
+            )
         page = Page(rows)
         epochs = list(self.members)
         for epoch in self.rng.sample(epochs, min(self.terms.fan, len(epochs))):
--- a/onyxhollow/topology/logs.py
+++ b/onyxhollow/topology/logs.py
@@ -94,17 +94,28 @@
     def view(self, now: float) -> View:
         servers = [
             Server(name, state=state, load=load, load_age=None if load is None else round(now - at, 1))
-            for name, state in self.servers.items() if state != "gone"
+            for name, state in self.servers.items()
+            if state != "gone"
             for load, at in [self.loads.get(name, (None, 0.0))]
-        ]  # fmt: skip
-        members = [msgspec.structs.replace(row, votes=row.name in self.voters)
-                   for row in [Member(self.name, self.epoch, "alive", self.zone), *self.members.values()]
-                   ]  # fmt: skip
+        ]
+        members = [
+            msgspec.structs.replace(row, votes=row.name in self.voters)
+            for row in [Member(self.name, self.epoch, "alive", self.zone), *self.members.values()]
+        ]
         ago = now - self.stalled_at
-        return View(self.me, self.zone, self.version, self.service, stalled=self.stalled,
-                    stalled_ago=ago if math.isfinite(ago) else None, members=members, servers=servers,
-                    duties=list(self.duties.values()), list_state=ListState(self.list_version, self.rests),
-                    addresses=list(self.addresses.values()))  # fmt: skip
+        return View(
+            self.me,
+            self.zone,
+            self.version,
+            self.service,
+            stalled=self.stalled,
+            stalled_ago=ago if math.isfinite(ago) else None,
+            members=members,
+            servers=servers,
+            duties=list(self.duties.values()),
+            list_state=ListState(self.list_version, self.rests),
+            addresses=list(self.addresses.values()),
+        )
 
 
 def lines(paths: Iterable[Path], until: float) -> list[tuple[float, str, dict[str, Any]]]:
@@ -151,8 +162,11 @@
     now = rows[-1][0]
     views, silent = [], []
     for life in now_by.values():
-        seen = [other.members[life.name] for other in now_by.values()
-                if life.name in other.members and other.members[life.name].epoch == life.epoch]  # fmt: skip
+        seen = [
+            other.members[life.name]
+            for other in now_by.values()
+            if life.name in other.members and other.members[life.name].epoch == life.epoch
+        ]
         dead = bool(seen) and all(row.life in ("dead", "left") for row in seen)
         if life.ended or dead:
             why = "stopped in order" if life.ended else "held for dead by all that speak of it"
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -22,8 +22,14 @@
 
 
 class Channel:
-    def __init__(self, loop: Loop | Hurry, sock: socket.socket, pool: BufferPool, wake: Callable[[], None],
-                 connecting: bool = False) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop | Hurry,
+        sock: socket.socket,
+        pool: BufferPool,
+        wake: Callable[[], None],
+        connecting: bool = False,
+    ) -> None:
         self.loop, self.sock, self.fd, self.wake = loop, sock, sock.fileno(), wake
         self.pool, self.inbox, self.out = pool, LineBuffer(pool), bytearray()
         self.connecting, self.paused = connecting, False
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -87,12 +87,17 @@
         for value in (size, born, cell):
             if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
                 raise ListError(f"{name}: impossible figure {value!r}")
-        entries.append(Entry(
-            name=name, readiness=ready, size=float(size),
-            started=born / 1000 - clock_ahead if born else None,
-            zone=str(row.get("site") or ""), cell=int(cell),
-            kind=str(row.get("class") or ""),
-        ))  # fmt: skip
+        entries.append(
+            Entry(
+                name=name,
+                readiness=ready,
+                size=float(size),
+                started=born / 1000 - clock_ahead if born else None,
+                zone=str(row.get("site") or ""),
+                cell=int(cell),
+                kind=str(row.get("class") or ""),
+            )
+        )
     return ServerList(version, told.get("whole") is True, entries, addresses)
 
 
@@ -109,8 +114,9 @@
     def reusable(self) -> bool:
         return not self.channel.ended and self.speaker.our_state is h11.IDLE
 
-    def get(self, target: str, until: float, superseded: Callable[[], bool],
-            method: str = "GET") -> Generator[float, None, bytes]:  # fmt: skip
+    def get(
+        self, target: str, until: float, superseded: Callable[[], bool], method: str = "GET"
+    ) -> Generator[float, None, bytes]:
         headers = [("Host", self.host), ("Accept", "application/json")]
         request = h11.Request(method=method, target=target, headers=headers)
         for part in (request, h11.EndOfMessage()):
@@ -149,10 +155,22 @@
 
 
 class Discovery:
-    def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, address: Address, wait: float,
-                 clock_ahead: float, version: int, pushed: bool, addresses: Addresses,
-                 told: Callable[[ListKind, list[Entry]], None],
-                 log: Callable[..., None], seed: int, soon: bool = False) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        counters: Counters,
+        address: Address,
+        wait: float,
+        clock_ahead: float,
+        version: int,
+        pushed: bool,
+        addresses: Addresses,
+        told: Callable[[ListKind, list[Entry]], None],
+        log: Callable[..., None],
+        seed: int,
+        soon: bool = False,
+    ) -> None:
         self.loop, self.pool, self.counters, self.address = loop, pool, counters, address
         self.wait, self.clock_ahead, self.version = wait, clock_ahead, version
         self.addresses, self.told, self.log = addresses, told, log
--- a/onyxhollow/wire/passing.py
+++ b/onyxhollow/wire/passing.py
@@ -79,9 +79,13 @@
 class Receiver:
     """The successor's end. take gets a record and the sockets, and says whether it has them now."""
 
-    def __init__(self, loop: Loop, path: str,
-                 take: Callable[[dict[str, Any], socket.socket, socket.socket], bool],
-                 done: Callable[[], None]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        path: str,
+        take: Callable[[dict[str, Any], socket.socket, socket.socket], bool],
+        done: Callable[[], None],
+    ) -> None:
         self.loop, self.path, self.take, self.done = loop, path, take, done
         self.sender: socket.socket | None = None
         self.listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET | socket.SOCK_CLOEXEC)
--- a/onyxhollow/wire/probes.py
+++ b/onyxhollow/wire/probes.py
@@ -28,9 +28,16 @@
 
 
 class Probes:
-    def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, addresses: Addresses, field: str,
-                 patience: float,
-                 told: Callable[[str, DialEnd, float, float | None], None]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        counters: Counters,
+        addresses: Addresses,
+        field: str,
+        patience: float,
+        told: Callable[[str, DialEnd, float, float | None], None],
+    ) -> None:
         self.loop, self.pool, self.counters, self.addresses = loop, pool, counters, addresses
         self.field, self.patience, self.told = field, patience, told
         self.standing: dict[str, Standing] = {}
@@ -79,8 +86,9 @@
         self.counters.add(f"probes {end.value}")
         self.told(server, end, self.loop.now - started, load)
 
-    def answer(self, standing: Standing,
-               until: float) -> Generator[float, None, tuple[DialEnd, float | None]]:  # fmt: skip
+    def answer(
+        self, standing: Standing, until: float
+    ) -> Generator[float, None, tuple[DialEnd, float | None]]:
         channel = standing.channel
         standing.owed += 1
         while True:
--- a/onyxhollow/wire/servers.py
+++ b/onyxhollow/wire/servers.py
@@ -27,16 +27,30 @@
 
 
 class Servers:
-    def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, addresses: Addresses,
-                 load_field: str, connect_time: float, malformed: Callable[[str], None]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        counters: Counters,
+        addresses: Addresses,
+        load_field: str,
+        connect_time: float,
+        malformed: Callable[[str], None],
+    ) -> None:
         self.loop, self.pool, self.counters, self.addresses = loop, pool, counters, addresses
         self.load_field, self.connect_time, self.malformed = load_field, connect_time, malformed
 
     def settle(self, load_field: str, connect_time: float) -> None:
         self.load_field, self.connect_time = load_field, connect_time
 
-    def dial(self, name: str, wait: float, line: Callable[[float], bytes], wake: Callable[[], None],
-             given_up: Callable[[], DialEnd | None]) -> Generator[float, None, Dialled]:  # fmt: skip
+    def dial(
+        self,
+        name: str,
+        wait: float,
+        line: Callable[[float], bytes],
+        wake: Callable[[], None],
+        given_up: Callable[[], DialEnd | None],
+    ) -> Generator[float, None, Dialled]:
         """One dial. line makes the opening line from the wait that is left; given_up is asked at each step.
         Unless it was accepted its connection is closed when this returns: a copy left behind could still
         run, and the next dial would be a second one."""
@@ -63,13 +77,15 @@
                 channel.close()
         return result
 
-    def connect(self, channel: Channel, until: float,
-                given_up: Callable[[], DialEnd | None]) -> Generator[float, None, None]:  # fmt: skip
+    def connect(
+        self, channel: Channel, until: float, given_up: Callable[[], DialEnd | None]
+    ) -> Generator[float, None, None]:
         while channel.connecting and self.loop.now < until and not given_up():
             yield until
 
-    def answer(self, channel: Channel, until: float,
-               given_up: Callable[[], DialEnd | None]) -> Generator[float, None, Dialled]:  # fmt: skip
+    def answer(
+        self, channel: Channel, until: float, given_up: Callable[[], DialEnd | None]
+    ) -> Generator[float, None, Dialled]:
         whole = False
         while True:
             if channel.wrote and not whole:
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -53,9 +53,20 @@
 class Sessions:
     """Makes sessions of accepted connections; holds what they share."""
 
-    def __init__(self, loop: Loop, pool: BufferPool, counters: Counters, addresses: Addresses, facade: Facade,
-                 listeners: dict[str, Listener], customers: dict[str, Customer], load_field: str,
-                 connect_time: float, service: ServiceState, log: Callable[..., None]) -> None:  # fmt: skip
+    def __init__(
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        counters: Counters,
+        addresses: Addresses,
+        facade: Facade,
+        listeners: dict[str, Listener],
+        customers: dict[str, Customer],
+        load_field: str,
+        connect_time: float,
+        service: ServiceState,
+        log: Callable[..., None],
+    ) -> None:
         self.loop, self.pool, self.counters, self.service = loop, pool, counters, service
         self.facade, self.listeners, self.customers, self.log = facade, listeners, customers, log
         self.servers = Servers(loop, pool, counters, addresses, load_field, connect_time, self.malformed)
@@ -67,8 +78,13 @@
         self.late_told: dict[str, float] = {}  # when late echoes were last told of, by server
         self.adopts_until = loop.now + ADOPTED
 
-    def settle(self, listeners: dict[str, Listener], customers: dict[str, Customer], load_field: str,
-               connect_time: float) -> None:  # fmt: skip
+    def settle(
+        self,
+        listeners: dict[str, Listener],
+        customers: dict[str, Customer],
+        load_field: str,
+        connect_time: float,
+    ) -> None:
         """For sessions that come from now on; those taken before keep their listener's terms. Clients learn
         of a dropped listener later than this proxy: what is on its way then is served by the old terms."""
         now, old = self.loop.now, self.listeners
@@ -166,17 +182,25 @@
     listener = Listener(**{**terms, "repeat": Repeat(terms["repeat"]), "scope": Scope(terms["scope"])})
     load = record["load"]
     return Carried(
-        read_opening(record["line"].encode("latin-1")), listener, str(record["server"]),
-        float(record["started"]), float(record["heard"]), [float(at) for at in record["out"]],
-        None if load is None else float(load), record["last"].encode("latin-1"), pair("read"), pair("unsent"),
-    )  # fmt: skip
+        read_opening(record["line"].encode("latin-1")),
+        listener,
+        str(record["server"]),
+        float(record["started"]),
+        float(record["heard"]),
+        [float(at) for at in record["out"]],
+        None if load is None else float(load),
+        record["last"].encode("latin-1"),
+        pair("read"),
+        pair("unsent"),
+    )
 
 
 class ClientSession:
     """One client's connection. carried: it was open in the process before this one, to that server."""
 
-    def __init__(self, shared: Sessions, sock: Any, carried: Carried | None = None,
-                 server: Any = None) -> None:  # fmt: skip
+    def __init__(
+        self, shared: Sessions, sock: Any, carried: Carried | None = None, server: Any = None
+    ) -> None:
         self.shared, self.loop, self.counters = shared, shared.loop, shared.counters
         self.client = Channel(self.loop, sock, shared.pool, self.wake)
         self.server: Channel | None = None
@@ -252,8 +276,15 @@
                     channel.close()
             if self.opening is not None:
                 self.shared.taken -= 1
-                self.shared.log("session", id=self.opening.name, server=self.name, dials=self.dials,
-                                end=self.end, echoes=self.echoes, slowest=round(self.slowest, 4))  # fmt: skip
+                self.shared.log(
+                    "session",
+                    id=self.opening.name,
+                    server=self.name,
+                    dials=self.dials,
+                    end=self.end,
+                    echoes=self.echoes,
+                    slowest=round(self.slowest, 4),
+                )
 
     def first_line(self) -> Generator[float, None, memoryview | None]:
         client, until = self.client, self.loop.now + FIRST_LINE
@@ -352,9 +383,15 @@
                 yield from self.relay(handle)
                 return
             self.counters.add(f"dials {end.value}")
-            self.shared.log("dial", id=opening.name, server=choice.server, end=end.value,
-                            took=round(took, 4), given=round(choice.time, 3),
-                            since=round(self.loop.now - took_at, 4))  # fmt: skip
+            self.shared.log(
+                "dial",
+                id=opening.name,
+                server=choice.server,
+                end=end.value,
+                took=round(took, 4),
+                given=round(choice.time, 3),
+                since=round(self.loop.now - took_at, 4),
+            )
             if self.absent():
                 self.leave(handle)
                 handle.report(end, took, True, dialled.load)
@@ -470,9 +507,14 @@
         self.out.extend(Moment(at, self.loop.stalled) for at in carried.out)
         self.counters.add("connections taken over")
         handle = self.handle = self.shared.facade.adopt(
-            self.wake, carried.listener, self.shared.customers.get(opening.customer), opening.group,
-            carried.load, carried.server, placed=True,
-        )  # fmt: skip
+            self.wake,
+            carried.listener,
+            self.shared.customers.get(opening.customer),
+            opening.group,
+            carried.load,
+            carried.server,
+            placed=True,
+        )
         yield from self.relay(handle, carried)
 
     def pass_on(self, handle: Handle, passing: Passing, started: float) -> Generator[float, None, bool]:
@@ -486,12 +528,17 @@
         for channel in (client, server):
             self.loop.watch(channel.fd, 0, None)
         record = {
-            "line": opening.line.decode("latin-1"), "listener": asdict(sess.listener), "server": self.name,
-            "started": started, "heard": self.heard, "out": [sent.at for sent in self.out],
-            "load": sess.load, "last": self.last.decode("latin-1"),
+            "line": opening.line.decode("latin-1"),
+            "listener": asdict(sess.listener),
+            "server": self.name,
+            "started": started,
+            "heard": self.heard,
+            "out": [sent.at for sent in self.out],
+            "load": sess.load,
+            "last": self.last.decode("latin-1"),
             "read": [channel.inbox.unused().decode("latin-1") for channel in (client, server)],
             "unsent": [channel.out.decode("latin-1") for channel in (client, server)],
-        }  # fmt: skip
+        }
 
         def told(taken: bool) -> None:
             self.passed = taken
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,8 +15,16 @@
 from onyxhollow.wire.discovery import read_list
 
 CALLS = Listener("calls", handshake_target=0.3, dial_timeout=2.0, message_target=0.1)
-PLAIN = Settings(listeners={"calls": CALLS}, customers={}, watched=False, most_dials=4, cold_share=0.25,
-                 cold_time=10.0, fall_multiple=2.0, fall_time=2.0)  # fmt: skip
+PLAIN = Settings(
+    listeners={"calls": CALLS},
+    customers={},
+    watched=False,
+    most_dials=4,
+    cold_share=0.25,
+    cold_time=10.0,
+    fall_multiple=2.0,
+    fall_time=2.0,
+)
 
 
 class FakeHost:
@@ -123,22 +131,34 @@
 class Loopback:
     """One proxy on loopback among toys, turned by hand."""
 
-    def __init__(self, servers="a", known=True, sockets=500, management=None, given=None, handover=None,
-                 **changes):  # fmt: skip
+    def __init__(
+        self, servers="a", known=True, sockets=500, management=None, given=None, handover=None, **changes
+    ):
         self.toys, self.opened = {name: Toy() for name in servers}, 0
         self.list = Toy()
         rows = [self.row(name) for name in servers] if known else []
         settings = replace(PLAIN, **{"most_dials": 2, "watched": True, **changes})
         told = {"seq": 7, "whole": True, "hosts": rows}
-        self.config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", self.list.port), management, seed=5,
-                        sockets=sockets, memory=64 << 20, known=read_list(told, 0.0), settings=settings,
-                        connect_time=0.25, probe_time=0.3)  # fmt: skip
+        self.config = Config(
+            "n0",
+            ("127.0.0.1", 0),
+            ("127.0.0.1", self.list.port),
+            management,
+            seed=5,
+            sockets=sockets,
+            memory=64 << 20,
+            known=read_list(told, 0.0),
+            settings=settings,
+            connect_time=0.25,
+            probe_time=0.3,
+        )
         reader, writer = os.pipe()
         os.set_blocking(writer, False)
         os.set_blocking(reader, False)
         ahead = time.time() - time.monotonic()
-        self.log_reader, self.proxy = reader, Proxy(
-            self.config, ahead, writer, lambda: self.config, given, handover
+        self.log_reader, self.proxy = (
+            reader,
+            Proxy(self.config, ahead, writer, lambda: self.config, given, handover),
         )
         self.proxy.discovery.rng.uniform = lambda low, high: (low + high) / 2  # watches of the middle length
         self.counts = self.proxy.counters.counts
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -50,8 +50,14 @@
 
 
 def test_a_site_goes_after_a_dwell_that_depends_on_how_bad_it_is():
-    for health, since, goes in ((0.0, 1.0, False), (0.0, 3.0, True), (0.5, 3.0, False), (0.5, 11.0, True),
-                                (0.7, 99.0, False), (None, 99.0, False)):  # fmt: skip
+    for health, since, goes in (
+        (0.0, 1.0, False),
+        (0.0, 3.0, True),
+        (0.5, 3.0, False),
+        (0.5, 11.0, True),
+        (0.7, 99.0, False),
+        (None, 99.0, False),
+    ):
         found, _ = decided(cells(a=(health, 10, since), b=(1.0, 10, 99)))
         assert found == ({("a", W)} if goes else set())
 
@@ -214,8 +220,12 @@
 
 
 def test_orders_merge_in_any_order_and_count_once():
-    rows = [order("1", 1, "drain"), order("2", 2, "undrain"), order("3", 3, "drain", until=1050.0),
-            order("4", 4, "pin", site="b", address="x")]  # fmt: skip
+    rows = [
+        order("1", 1, "drain"),
+        order("2", 2, "undrain"),
+        order("3", 3, "drain", until=1050.0),
+        order("4", 4, "pin", site="b", address="x"),
+    ]
     books = []
     for arranged in (rows, rows[::-1], rows + rows):
         book = Book()
@@ -287,8 +297,11 @@
             elif isinstance(message, Keep):
                 keeper.heard(Kept(voter, [mark(row) for row in message.rows]), voter, now, now)
         for site in "ab":
-            stands = [Row(key[0], int(cell.standing), cell.cause, 0.0, 0.0) for key, cell in
-                      keeper.cells.items() if key[1] == site]  # fmt: skip
+            stands = [
+                Row(key[0], int(cell.standing), cell.cause, 0.0, 0.0)
+                for key, cell in keeper.cells.items()
+                if key[1] == site
+            ]
             for rows in pages(stands):
                 keeper.heard(Report(site, 1, number, 1, True, rows), f"{site}0", now, now)
                 keeper.tick(now, now)  # between two pages as well: what was not told of is not taken as known
@@ -317,9 +330,14 @@
 
 
 def test_a_gate_whose_members_have_all_fallen_silent_goes_sooner_or_at_all():
-    for cut_off, alone, silent, goes in (("withdraw", 4.0, 4.0, True), ("withdraw", 4.0, 2.0, False),
-                                         ("withdraw", 2.0, 4.0, False), ("keep", 14.0, 99.0, False),
-                                         ("keep", 16.0, 16.0, True), ("keep", 99.0, 1.0, False)):  # fmt: skip
+    for cut_off, alone, silent, goes in (
+        ("withdraw", 4.0, 4.0, True),
+        ("withdraw", 4.0, 2.0, False),
+        ("withdraw", 2.0, 4.0, False),
+        ("keep", 14.0, 99.0, False),
+        ("keep", 16.0, 16.0, True),
+        ("keep", 99.0, 1.0, False),
+    ):
         told = wander.TOLD
         table = Table(told.service, msgspec.structs.replace(told.site[0], cut_off=cut_off), 64512)
         table.claim(1, "n0", 0.0)
@@ -420,8 +438,14 @@
 
 
 # A schedule by which each bug shows: the first of wander.found(name, range(400)).
-SHOWS = {"no least": 24, "no budget": 33, "old terms": 119, "overtaken calls": 318, "told at once": 1,
-         "no look at what stands": 0}  # fmt: skip
+SHOWS = {
+    "no least": 24,
+    "no budget": 33,
+    "old terms": 119,
+    "overtaken calls": 318,
+    "told at once": 1,
+    "no look at what stands": 0,
+}
 
 
 @pytest.mark.parametrize("name", sorted(wander.BUGS))
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,10 +8,18 @@
 from onyxhollow.benchlink.link import main
 
 OPTIONS = {
-    "listeners": [{"name": "calls", "semantics": "read_like", "handshakeTargetNs": 300000000,
-                   "dialTimeoutNs": 2000000000}],
-    "rules": {"coldNs": 1000000000}, "ceilings": {"mostDials": 2}, "unheard of": 1,
-}  # fmt: skip
+    "listeners": [
+        {
+            "name": "calls",
+            "semantics": "read_like",
+            "handshakeTargetNs": 300000000,
+            "dialTimeoutNs": 2000000000,
+        }
+    ],
+    "rules": {"coldNs": 1000000000},
+    "ceilings": {"mostDials": 2},
+    "unheard of": 1,
+}
 ENTRY = ["in_service", "10.0.0.1:80", 1, "k", 0, "z", 0]
 
 
@@ -23,35 +31,57 @@
 
 def begin(options=OPTIONS):
     order = ["order", 3, 9, "calls", None, "s-1", 2000000000, None, None, 0]
-    return [["sync", 5000000000], ["provision", 3, 17, options], ["members", 3, "cached", 1, [ENTRY]], ["go"],
-            ["sync", 5100000000], order, ["go"]]  # fmt: skip
+    return [
+        ["sync", 5000000000],
+        ["provision", 3, 17, options],
+        ["members", 3, "cached", 1, [ENTRY]],
+        ["go"],
+        ["sync", 5100000000],
+        order,
+        ["go"],
+    ]
 
 
 def test_a_session_is_dialled_stands_and_ends_and_late_news_of_it_are_ignored():
     end = ["answer", 3, 9, 1000, 0, True, "10.0.0.1:80", 0, None]
     begun = ["begun", 3, 9, 0, "10.0.0.1:80", 5000000]
-    code, out, errors = talk(*begin(), ["sync", 6000000000], begun, end, end,
-                             ["change", 3, 9, 0, "10.0.0.1:80", 2, 4.0], ["go"])  # fmt: skip
+    code, out, errors = talk(
+        *begin(), ["sync", 6000000000], begun, end, end, ["change", 3, 9, 0, "10.0.0.1:80", 2, 4.0], ["go"]
+    )
     assert (code, errors) == (0, "") and ["forward", 3, 9, "10.0.0.1:80", 300000000] in out
     assert out.count(["ok"]) == 3
 
 
 def test_a_killed_instance_drops_all_and_its_late_outcomes():
     late = ["answer", 3, 9, 1000, 110, False, "10.0.0.1:80", 0, None]
-    code, out, _ = talk(*begin(), ["sync", 6000000000], ["killed", 3], late, ["provision", 3, 18, OPTIONS],
-                        late, ["members", 3, "cached", 1, [ENTRY]], ["go"])  # fmt: skip
+    code, out, _ = talk(
+        *begin(),
+        ["sync", 6000000000],
+        ["killed", 3],
+        late,
+        ["provision", 3, 18, OPTIONS],
+        late,
+        ["members", 3, "cached", 1, [ENTRY]],
+        ["go"],
+    )
     assert code == 0 and len([x for x in out if x[0] == "forward"]) == 1
     assert not [x for x in out if x[0] in ("overloadReply", "finishError")]
 
 
-@pytest.mark.parametrize("bad, said", [
-    ("{nonsense", "line 8: not JSON"),
-    (["hearsay", 3], "line 9: unknown message hearsay"),
-    (["order", 3, 9, "no such", None, "s-1", 1, None, None, 0], "line 9: band: impossible value 'no such'"),
-    (["order", 3, -9, "calls", None, "s-1", 1, None, None, 0], "line 9: corr: expected a whole number"),
-    (["order", 3], "line 9: band: impossible value None"),
-    (["provision", 4, 1, {"listeners": []}], "line 9: missing setting rules: expected an object"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "bad, said",
+    [
+        ("{nonsense", "line 8: not JSON"),
+        (["hearsay", 3], "line 9: unknown message hearsay"),
+        (
+            ["order", 3, 9, "no such", None, "s-1", 1, None, None, 0],
+            "line 9: band: impossible value 'no such'",
+        ),
+        (["order", 3, -9, "calls", None, "s-1", 1, None, None, 0], "line 9: corr: expected a whole number"),
+        (["order", 3], "line 9: band: impossible value None"),
+        (["provision", 4, 1, {"listeners": []}], "line 9: missing setting rules: expected an object"),
+    ],
+)
 def test_a_malformed_line_is_named_and_ends_the_adapter(bad, said):
     lines = [bad] if isinstance(bad, str) else [["sync", 7000000000], bad]
     code, out, errors = talk(*begin(), *lines)
--- a/tests/test_fleet_cores.py
+++ b/tests/test_fleet_cores.py
@@ -382,8 +382,11 @@
             self.voters[name].blank = False
             self.disks[name] = [Remembers()]
         duties = ("d", VOTERS)
-        self.claims = {(who, duty): Claim(duty, who, Rules(4.0, 0.01), self.council, Random(1), 0.0)
-                       for who in "xyz" for duty in duties}  # fmt: skip
+        self.claims = {
+            (who, duty): Claim(duty, who, Rules(4.0, 0.01), self.council, Random(1), 0.0)
+            for who in "xyz"
+            for duty in duties
+        }
         self.changers = {who: Changer() for who in "xyz"}
         self.terms = dict.fromkeys(duties, 0)
 
--- a/tests/test_fleet_rig.py
+++ b/tests/test_fleet_rig.py
@@ -123,9 +123,12 @@
 
 def drained(rig, host):
     """Processes that know of a drain, by their log."""
-    return {line.process for line in rig.lines
-            if (line.event == "list" and any(f"{host} draining" in row for row in line.told["rows"]))
-            or (line.event == "drains told" and host in line.told["hosts"])}  # fmt: skip
+    return {
+        line.process
+        for line in rig.lines
+        if (line.event == "list" and any(f"{host} draining" in row for row in line.told["rows"]))
+        or (line.event == "drains told" and host in line.told["hosts"])
+    }
 
 
 def up(rig):
--- a/tests/test_fleet_sharing.py
+++ b/tests/test_fleet_sharing.py
@@ -18,8 +18,16 @@
     made = []
 
     def make(members, servers, **values):
-        rig = Rig(tmp_path / f"rig{len(made)}", members=members, zones=("a", "b"), servers=servers, duties=[],
-                  settings=ASKED, more={"sharing": TALKS}, **values)  # fmt: skip
+        rig = Rig(
+            tmp_path / f"rig{len(made)}",
+            members=members,
+            zones=("a", "b"),
+            servers=servers,
+            duties=[],
+            settings=ASKED,
+            more={"sharing": TALKS},
+            **values,
+        )
         echo = [EchoServer(rig.loop, base=0.1 * (number + 1)) for number in range(servers)]
         for number, server in enumerate(echo):
             rig.list.rows[f"s{number}"]["dial"] = f"{server.address[0]}:{server.address[1]}"
@@ -57,8 +65,8 @@
 
 
 def sums_right(echo):
-    return lambda held: len(held) == len(echo) and all(
-        held[f"s{n}"]["held"] == one.open for n, one in enumerate(echo)
+    return lambda held: (
+        len(held) == len(echo) and all(held[f"s{n}"]["held"] == one.open for n, one in enumerate(echo))
     )
 
 
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -83,8 +83,12 @@
         tmp_path,
     ]
     # A shell starts what it puts in the background with SIGINT ignored, and that is inherited.
-    run = subprocess.Popen(words, stderr=subprocess.PIPE, stdout=subprocess.DEVNULL,
-                           preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL))  # fmt: skip
+    run = subprocess.Popen(
+        words,
+        stderr=subprocess.PIPE,
+        stdout=subprocess.DEVNULL,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),
+    )
     until = time.monotonic() + 30
     while len(left_over(tmp_path)) < 4 and time.monotonic() < until:
         time.sleep(0.05)
--- a/tests/test_lab_tools.py
+++ b/tests/test_lab_tools.py
@@ -22,8 +22,23 @@
 def test_an_experiment_killed_half_way_goes_on_to_the_same_figures(tmp_path):
     path = tmp_path / "day.toml"
     path.write_bytes(scenario.encode(DAY))
-    words = [sys.executable, "-m", "onyxhollow", "lab", "experiment", "--scenarios", str(path), "--policies",
-             "module,random", "--seeds", "30", "--jobs", "2", "--dir", str(tmp_path / "runs")]  # fmt: skip
+    words = [
+        sys.executable,
+        "-m",
+        "onyxhollow",
+        "lab",
+        "experiment",
+        "--scenarios",
+        str(path),
+        "--policies",
+        "module,random",
+        "--seeds",
+        "30",
+        "--jobs",
+        "2",
+        "--dir",
+        str(tmp_path / "runs"),
+    ]
     child = subprocess.Popen(
         words, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True
     )
@@ -71,8 +86,22 @@
 def test_compare_on_the_command_line_finds_the_module_above_random(tmp_path, capfd):
     path = tmp_path / "day.toml"
     path.write_bytes(scenario.encode(DAY))
-    words = ["lab", "compare", "random", "module", "--scenarios", str(path), "--seeds", "4", "--jobs", "1",
-             "--dir", str(tmp_path / "runs"), "--json", str(tmp_path / "out.json")]  # fmt: skip
+    words = [
+        "lab",
+        "compare",
+        "random",
+        "module",
+        "--scenarios",
+        str(path),
+        "--seeds",
+        "4",
+        "--jobs",
+        "1",
+        "--dir",
+        str(tmp_path / "runs"),
+        "--json",
+        str(tmp_path / "out.json"),
+    ]
     assert main(words) == 0
     rows = json.loads((tmp_path / "out.json").read_text())
     assert (
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -54,10 +54,16 @@
     assert live.handle.sess.load == 12.5 / 1e6 and live.handle.sess.server.delay.value < 0.1
 
 
-@pytest.mark.parametrize("said, outcome", [
-    (b"BUSY x0=0.9\r\n", "full"), (b"ERR\r\n", "error"), (b"", "reset"), (b"WHAT\r\n", "unknown"),
-    (b"x" * 5000, "unknown"),
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "said, outcome",
+    [
+        (b"BUSY x0=0.9\r\n", "full"),
+        (b"ERR\r\n", "error"),
+        (b"", "reset"),
+        (b"WHAT\r\n", "unknown"),
+        (b"x" * 5000, "unknown"),
+    ],
+)
 def test_a_dial_that_fails_is_followed_by_another_and_the_last_by_an_answer(loopback, said, outcome):
     proxy = loopback("ab", load_field="x0")
     client = proxy.open()
@@ -237,16 +243,37 @@
     proxy.until(lambda: not proxy.proxy.sessions.table.live)
 
 
-@pytest.mark.parametrize("said", [
-    b"HELLO\r\n", b"OPEN 1 2 c=calls,d=x\r\n", b"OPEN 1 2 c=nobody,d=9\r\n", b"OPEN 1 2 c=calls\r\n",
-    b"x" * 5000, b"OPEN 1 2 c=calls,c=calls,d=9\r\n", b"OPEN \xff 2 c=calls,d=9\r\n", b"PING\r\n" * 500,
-    b"OPEN  2 c=calls,d=9\r\n", b"OPEN 2 c=calls,d=9\r\n", b"OPEN 1\n 2 c=calls,d=9\r\n", b"\0" * 6 + b"\r\n",
-    b"OPEN 1 2 c=calls,d=1_0\r\n", b"OPEN 1 2 c=calls,d=1e300\r\n", b"OPEN 1 2 c=calls,d=-5\r\n",
-    b"OPEN 1 2 c=calls,d=0\r\n", b"OPEN 1 2 c=calls,d=99999999999999999999\r\n", b"OPEN 1 2 c=calls,d=\r\n",
-    b"OPEN 1 2 c=calls,d=9,h=nan\r\n", b"OPEN 1 2 c=calls,d=9,h=\r\n", b"OPEN 1 2 c=calls,d=9,h=1e5\r\n",
-    b"OPEN 1 2 c=calls,d=2000\r\nOPEN 3 4 c=calls,d=2000\r\n", b"OPEN 1 2 c=calls,d=2000\r\nx",
-    b"OPEN 9b1f1 2 c=calls,d=2000\r\n", b"OPEN 1 2 c=calls,d=9,at=a\r\n", b"OPEN 1 2 c=calls,at=a\r\n",
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"HELLO\r\n",
+        b"OPEN 1 2 c=calls,d=x\r\n",
+        b"OPEN 1 2 c=nobody,d=9\r\n",
+        b"OPEN 1 2 c=calls\r\n",
+        b"x" * 5000,
+        b"OPEN 1 2 c=calls,c=calls,d=9\r\n",
+        b"OPEN \xff 2 c=calls,d=9\r\n",
+        b"PING\r\n" * 500,
+        b"OPEN  2 c=calls,d=9\r\n",
+        b"OPEN 2 c=calls,d=9\r\n",
+        b"OPEN 1\n 2 c=calls,d=9\r\n",
+        b"\0" * 6 + b"\r\n",
+        b"OPEN 1 2 c=calls,d=1_0\r\n",
+        b"OPEN 1 2 c=calls,d=1e300\r\n",
+        b"OPEN 1 2 c=calls,d=-5\r\n",
+        b"OPEN 1 2 c=calls,d=0\r\n",
+        b"OPEN 1 2 c=calls,d=99999999999999999999\r\n",
+        b"OPEN 1 2 c=calls,d=\r\n",
+        b"OPEN 1 2 c=calls,d=9,h=nan\r\n",
+        b"OPEN 1 2 c=calls,d=9,h=\r\n",
+        b"OPEN 1 2 c=calls,d=9,h=1e5\r\n",
+        b"OPEN 1 2 c=calls,d=2000\r\nOPEN 3 4 c=calls,d=2000\r\n",
+        b"OPEN 1 2 c=calls,d=2000\r\nx",
+        b"OPEN 9b1f1 2 c=calls,d=2000\r\n",
+        b"OPEN 1 2 c=calls,d=9,at=a\r\n",
+        b"OPEN 1 2 c=calls,at=a\r\n",
+    ],
+)
 def test_what_cant_be_read_or_used_is_told_so_and_reaches_neither_module_nor_server(loopback, said):
     proxy = loopback()
     client, bad = proxy.standing()[0], proxy.client(said)
@@ -466,7 +493,8 @@
 
 
 def test_after_a_call_turned_away_the_module_says_when_to_ask_and_the_next_watches_are_spread(
-        loopback, monkeypatch):  # fmt: skip
+    loopback, monkeypatch
+):
     monkeypatch.setattr("onyxhollow.policy.Random.uniform", lambda self, low, high: high)
     monkeypatch.setattr("onyxhollow.wire.discovery.Random.random", lambda self: 0.5)
     proxy, new = loopback(), Toy()
@@ -521,10 +549,17 @@
     assert proxy.proxy.facade.balancer.servers["a"].load_at == -math.inf
 
 
-@pytest.mark.parametrize("said", [
-    b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"", b"HTTP/1.1 200 OK\r\nConte", b"rubbish\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        b"",
+        b"HTTP/1.1 200 OK\r\nConte",
+        b"rubbish\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+    ],
+)
 def test_a_call_for_the_list_that_fails_is_followed_by_another(loopback, said):
     proxy = loopback()
     first = proxy.until(lambda: proxy.list.asked())
@@ -651,8 +686,14 @@
     source.set_up.value = 9.0  # slower than any receiver: the pace would be halved by chance on a loopback
     balancer.blame(source, 5.0)  # its hand-off is under way while the settings change
     pace = source.leaving
-    live = replace(old, live_sizes=True, groups=True, watched=False, balancers=9,
-                   listeners={"calls": replace(CALLS, handshake_target=0.2, dial_timeout=0.3)})  # fmt: skip
+    live = replace(
+        old,
+        live_sizes=True,
+        groups=True,
+        watched=False,
+        balancers=9,
+        listeners={"calls": replace(CALLS, handshake_target=0.2, dial_timeout=0.3)},
+    )
     shares = {"a": 4, "b": 0.5, "c": 4}
     rows = [proxy.row(name, **{"share": share, "class": "m"}) for name, share in shares.items()]
     body = json.dumps({"seq": 9, "whole": True, "hosts": rows}).encode()
@@ -739,14 +780,26 @@
 def test_the_program_reloads_on_sighup_and_stops_on_sigterm_without_an_error(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
-    settings = {"listeners": [{"name": "calls", "semantics": "read_like", "handshakeTargetNs": 300000000,
-                               "dialTimeoutNs": 600000000}], "rules": {}}  # fmt: skip
+    settings = {
+        "listeners": [
+            {
+                "name": "calls",
+                "semantics": "read_like",
+                "handshakeTargetNs": 300000000,
+                "dialTimeoutNs": 600000000,
+            }
+        ],
+        "rules": {},
+    }
     told = {"listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "seed": "8c1f", "settings": settings}
     path = tmp_path / "config.json"
     path.write_text(json.dumps(told))
-    program = subprocess.Popen([sys.executable, "-O", "-m", "onyxhollow", "serve", "--config", str(path)],
-                               stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-                               env={**os.environ, "LB_DISCOVERY": "127.0.0.1:9"})  # fmt: skip
+    program = subprocess.Popen(
+        [sys.executable, "-O", "-m", "onyxhollow", "serve", "--config", str(path)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        env={**os.environ, "LB_DISCOVERY": "127.0.0.1:9"},
+    )
     try:
         assert json.loads(program.stdout.readline())["event"] == "start"
         with socket.create_connection(("127.0.0.1", port)) as client:
@@ -779,19 +832,27 @@
     assert json.loads(out.splitlines()[-1])["event"] == "counters"
 
 
-GOOD = ('{"listen":"127.0.0.1:1","discovery":"127.0.0.1:9","settings":{"rules":{},"listeners":[{"name":"c",'
-        '"semantics":"read_like","handshakeTargetNs":3,"dialTimeoutNs":6}],%s},"limits":%s}')  # fmt: skip
-
-
-@pytest.mark.parametrize("text, said", [
-    ("{", "not JSON"), ("[]", "not an object"), ("{}", "missing setting settings"), (None, "No such file"),
-    ('{"settings":{"rules":{},"listeners":[]}}', "listeners: expected one at least, got none"),
-    (GOOD % ('"weightKind":"heavy"', "{}"), "expected one of none, nominal, rough, live, got 'heavy'"),
-    (GOOD % ('"weightKind":4', "{}"), "setting weightKind: expected text, got 4"),
-    (GOOD % ('"discovery":"smoke"', "{}"), "discovery: expected one of on_request, pushed, got 'smoke'"),
-    (GOOD % ('"charges":{"crossZone":-1}', "{}"), "setting crossZone: expected a number from 0, got -1"),
-    (GOOD % ('"extra":{}', '{"sockets":0}'), "limits: sockets: expected a whole number from 64, got 0"),
-])  # fmt: skip
+GOOD = (
+    '{"listen":"127.0.0.1:1","discovery":"127.0.0.1:9","settings":{"rules":{},"listeners":[{"name":"c",'
+    '"semantics":"read_like","handshakeTargetNs":3,"dialTimeoutNs":6}],%s},"limits":%s}'
+)
+
+
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("{", "not JSON"),
+        ("[]", "not an object"),
+        ("{}", "missing setting settings"),
+        (None, "No such file"),
+        ('{"settings":{"rules":{},"listeners":[]}}', "listeners: expected one at least, got none"),
+        (GOOD % ('"weightKind":"heavy"', "{}"), "expected one of none, nominal, rough, live, got 'heavy'"),
+        (GOOD % ('"weightKind":4', "{}"), "setting weightKind: expected text, got 4"),
+        (GOOD % ('"discovery":"smoke"', "{}"), "discovery: expected one of on_request, pushed, got 'smoke'"),
+        (GOOD % ('"charges":{"crossZone":-1}', "{}"), "setting crossZone: expected a number from 0, got -1"),
+        (GOOD % ('"extra":{}', '{"sockets":0}'), "limits: sockets: expected a whole number from 64, got 0"),
+    ],
+)
 def test_a_bad_configuration_is_one_line_on_standard_error_and_exit_2(tmp_path, capsys, text, said):
     path = tmp_path / "config.json"
     if text is not None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -39,28 +39,34 @@
 
 
 def read_figures(text):
-    return {(row.name, row.labels.get("tier")): row.value
-            for family in text_string_to_metric_families(text) for row in family.samples}  # fmt: skip
-
-
-@pytest.mark.parametrize("said, status, also", [
-    (READY + END, 200, b"ready"),
-    (READY + b"?verbose=1" + END, 200, b"ready"),
-    (b"GET http://10.0.0.1:99/control/ready" + END, 200, b"ready"),
-    (READY + END + READY + END + b"x" * 20000, 200, b"ready"),
-    (READY + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", 200, b"ready"),
-    (READY + b" HTTP/1.0\r\n\r\n", 200, b"ready"),
-    (b"HEAD /control/ready" + END, 200, b"Content-Length: 6"),
-    (b"GET *" + END, 404, b""),
-    (b"GET /control/ready/" + END, 404, b""),
-    (b"POST /control/ready" + END, 405, b"Allow: GET, HEAD"),
-    (b"GET /control/in-service" + END, 405, b"Allow: POST"),
-    (b"OPEN 9b1f 7f3a c=calls,d=2000\r\n\r\n", 400, b""),
-    (b"\x16\x03\x01\x02\x00\x01\r\n\r\n", 400, b""),
-    (READY + b" HTTP/1.1\r\n\r\n", 400, b""),
-    (READY + b" HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 20000, 431, b""),
-    (READY + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 99999\r\n\r\n" + b"z" * 99999, 413, b""),
-])  # fmt: skip
+    return {
+        (row.name, row.labels.get("tier")): row.value
+        for family in text_string_to_metric_families(text)
+        for row in family.samples
+    }
+
+
+@pytest.mark.parametrize(
+    "said, status, also",
+    [
+        (READY + END, 200, b"ready"),
+        (READY + b"?verbose=1" + END, 200, b"ready"),
+        (b"GET http://10.0.0.1:99/control/ready" + END, 200, b"ready"),
+        (READY + END + READY + END + b"x" * 20000, 200, b"ready"),
+        (READY + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", 200, b"ready"),
+        (READY + b" HTTP/1.0\r\n\r\n", 200, b"ready"),
+        (b"HEAD /control/ready" + END, 200, b"Content-Length: 6"),
+        (b"GET *" + END, 404, b""),
+        (b"GET /control/ready/" + END, 404, b""),
+        (b"POST /control/ready" + END, 405, b"Allow: GET, HEAD"),
+        (b"GET /control/in-service" + END, 405, b"Allow: POST"),
+        (b"OPEN 9b1f 7f3a c=calls,d=2000\r\n\r\n", 400, b""),
+        (b"\x16\x03\x01\x02\x00\x01\r\n\r\n", 400, b""),
+        (READY + b" HTTP/1.1\r\n\r\n", 400, b""),
+        (READY + b" HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 20000, 431, b""),
+        (READY + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 99999\r\n\r\n" + b"z" * 99999, 413, b""),
+    ],
+)
 @pytest.mark.parametrize("piece", [1, 10**6])
 def test_every_call_is_answered_once_and_its_answer_can_be_read(served, said, status, also, piece):
     proxy = served()
@@ -144,10 +150,13 @@
     told = read_figures(proxy.ask("counters")[1])
     ends = {key: value for key, value in told.items() if key[1]}
     assert ends == {
-        ("lb_success_total", "calls"): 1, ("lb_success_total", "once"): 0,
-        ("lb_busy_total", "calls"): 1, ("lb_busy_total", "once"): 0,
-        ("lb_failure_total", "calls"): 0, ("lb_failure_total", "once"): 1,
-    }  # fmt: skip
+        ("lb_success_total", "calls"): 1,
+        ("lb_success_total", "once"): 0,
+        ("lb_busy_total", "calls"): 1,
+        ("lb_busy_total", "once"): 0,
+        ("lb_failure_total", "calls"): 0,
+        ("lb_failure_total", "once"): 1,
+    }
     # Nothing was written to the server that refused connections.
     assert told["lb_backend_calls_total", None] == 2 and told["lb_inflight", None] == 0
     assert told["lb_hosts_listed", None] == 1
@@ -212,17 +221,31 @@
 
 
 TOLD = {
-    "name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "management": "127.0.0.1:3",
+    "name": "n",
+    "listen": "127.0.0.1:1",
+    "discovery": "127.0.0.1:2",
+    "management": "127.0.0.1:3",
     "seed": "5",
-    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 500}, "known": {"seq": 0, "hosts": []},
+    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 500},
+    "known": {"seq": 0, "hosts": []},
     "settings": {
-        "discovery": "on_request", "weightKind": "nominal", "peersTotal": 1,
-        "listeners": [{"name": name, "semantics": "read_like", "handshakeTargetNs": 3e8, "dialTimeoutNs": 2e9,
-                       "utility": 1.0} for name in ("calls", "chat")],
+        "discovery": "on_request",
+        "weightKind": "nominal",
+        "peersTotal": 1,
+        "listeners": [
+            {
+                "name": name,
+                "semantics": "read_like",
+                "handshakeTargetNs": 3e8,
+                "dialTimeoutNs": 2e9,
+                "utility": 1.0,
+            }
+            for name in ("calls", "chat")
+        ],
         "ceilings": {"mostDials": 3, "connectTimeoutNs": 250000000},
         "rules": {"coldNs": 5000000000, "coldShare": 0.3},
     },
-}  # fmt: skip
+}
 
 
 def objects(told, path=()):
@@ -254,10 +277,14 @@
             files += [json.dumps(changed(place, key)) for key in found]
     for row in (0, 1):
         for key in ("dialTimeoutNs", "handshakeTargetNs"):
-            files += [json.dumps(changed(("settings", "listeners", row), key, value))
-                      for value in (0, -5, True, "2e9", float("nan"), float("inf"), [], {})]  # fmt: skip
-    files += [json.dumps(changed(("settings", "ceilings"), "mostDials", value))
-              for value in (0, -1, True, "3", float("nan"), [])]  # fmt: skip
+            files += [
+                json.dumps(changed(("settings", "listeners", row), key, value))
+                for value in (0, -5, True, "2e9", float("nan"), float("inf"), [], {})
+            ]
+    files += [
+        json.dumps(changed(("settings", "ceilings"), "mostDials", value))
+        for value in (0, -1, True, "3", float("nan"), [])
+    ]
     for text in files:
         path.write_text(text)
         with pytest.raises(ConfigError):
@@ -486,10 +513,18 @@
     assert not old.counts["connections passed on"]
 
 
-@pytest.mark.parametrize("change", [
-    {"version": 0}, {"line": "OPEN nothing"}, {"listener": {}}, {"read": ["x" * 9000, ""]}, {"out": ["x"]},
-    {"load": "x"}, {"number": "x"},
-])  # fmt: skip
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 0},
+        {"line": "OPEN nothing"},
+        {"listener": {}},
+        {"read": ["x" * 9000, ""]},
+        {"out": ["x"]},
+        {"load": "x"},
+        {"number": "x"},
+    ],
+)
 def test_a_record_that_cant_be_used_leaves_the_connection_where_it_is(loopback, change):
     proxy = loopback()
     client, _ = proxy.standing()
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -27,8 +27,9 @@
         self.loads = {f"s{n}": 0.08 * (n + 1) for n in range(servers)}
         self.dead, self.cut, self.asked, self.bytes, self.lies = set(), set(), [], {}, {}
         zone = {n: zones[n % len(zones)] for n in range(count)}
-        self.cores = {n: Sharing(f"n{n}", n + 1, zone[n], TERMS, Random(seed * 99 + n), self.now)
-                      for n in range(count)}  # fmt: skip
+        self.cores = {
+            n: Sharing(f"n{n}", n + 1, zone[n], TERMS, Random(seed * 99 + n), self.now) for n in range(count)
+        }
         self.own = {n: {} for n in range(count)}
         self.news = {n: {} for n in range(count)}
         self.where = {name: zones[n % len(zones)] for n, name in enumerate(self.loads)}
@@ -133,10 +134,26 @@
     core = fleet.cores[0]
     keeper, strangers = core.ranked["s0"][0], set(range(1, 9)) - set(core.ranked["s0"])
     before = core.table["s0"].row
-    fine = {"server": "s0", "by": keeper, "number": 10**9, "age": 0, "load": 1, "load_age": 0, "held": 1,
-            "doubters": 0}  # fmt: skip
-    wrong = [{"age": -1}, {"age": 10**6}, {"load": 10**6}, {"held": -1}, {"by": min(strangers)},
-             {"server": "nobody"}, {"doubters": -1}, {"load_age": -5}]  # fmt: skip
+    fine = {
+        "server": "s0",
+        "by": keeper,
+        "number": 10**9,
+        "age": 0,
+        "load": 1,
+        "load_age": 0,
+        "held": 1,
+        "doubters": 0,
+    }
+    wrong = [
+        {"age": -1},
+        {"age": 10**6},
+        {"load": 10**6},
+        {"held": -1},
+        {"by": min(strangers)},
+        {"server": "nobody"},
+        {"doubters": -1},
+        {"load_age": -5},
+    ]
     for change in wrong:
         core.heard(keeper, Page([Row(**(fine | change))]), fleet.now)
     assert core.table["s0"].row is before or keeper == core.epoch
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -703,10 +703,13 @@
     for _ in range(40):
         host.take()
     old, before = {f"s{n}" for n in range(6)}, len(host.asked("dial"))
-    host.balancer.server_list(ListKind.CHANGES, [
-        *(Entry(name, Readiness.GONE) for name in sorted(old)),
-        *(Entry(f"t{n}", Readiness.IN_SERVICE, size=4.0, started=host.now) for n in range(6)),
-    ])  # fmt: skip
+    host.balancer.server_list(
+        ListKind.CHANGES,
+        [
+            *(Entry(name, Readiness.GONE) for name in sorted(old)),
+            *(Entry(f"t{n}", Readiness.IN_SERVICE, size=4.0, started=host.now) for n in range(6)),
+        ],
+    )
     late = []
     for _ in range(40):
         late.append(host.take())
--- a/tests/test_topology.py
+++ b/tests/test_topology.py
@@ -19,10 +19,19 @@
     names = [*odd, *(f"n{n}" for n in range(count - len(odd)))]
     rows = [Member(name, 1, "alive", zones[n % len(zones)]) for n, name in enumerate(names)]
     blocks = [Server(f"s{n}", zones[n % len(zones)], own=1, load=0.3, load_age=1.0) for n in range(servers)]
-    views = [View(f"{row.name}~1", row.zone, "1", "in service", members=rows, servers=blocks,
-                  links=[Link(other.name, 1, 0.5, 9, 0.0, 1.0) for other in rows if other is not row],
-                  duties=[Duty("voters", 3, f"{names[0]}~1", "holding" if n == 0 else "idle")])
-             for n, row in enumerate(rows)]  # fmt: skip
+    views = [
+        View(
+            f"{row.name}~1",
+            row.zone,
+            "1",
+            "in service",
+            members=rows,
+            servers=blocks,
+            links=[Link(other.name, 1, 0.5, 9, 0.0, 1.0) for other in rows if other is not row],
+            duties=[Duty("voters", 3, f"{names[0]}~1", "holding" if n == 0 else "idle")],
+        )
+        for n, row in enumerate(rows)
+    ]
     return Snapshot(1000.0, views)
 
 
@@ -51,19 +60,25 @@
     deaf = [Link("n0", 1, 30.0, 9, 1.0, 0.0)]
     rest = [msgspec.structs.replace(view, links=deaf) if view.name == "n1" else view for view in well.views]
     assert kinds(msgspec.structs.replace(well, views=rest)) == [("one-way", ("n0", "n1"))]
-    asleep = [msgspec.structs.replace(view, stalled=3.0, stalled_ago=1.0) if view.name == "n2" else view
-              for view in well.views]  # fmt: skip
+    asleep = [
+        msgspec.structs.replace(view, stalled=3.0, stalled_ago=1.0) if view.name == "n2" else view
+        for view in well.views
+    ]
     assert kinds(msgspec.structs.replace(well, views=asleep)) == [("stalled", ("n2",))]
     free = [Duty("voters", 3, "n0~1", "idle")]
     unheld = [msgspec.structs.replace(view, duties=free) for view in well.views]
     assert kinds(msgspec.structs.replace(well, views=unheld)) == [("no holder", ("voters",))]
-    away = [msgspec.structs.replace(view, service="leaving" if view.zone == "b" else "in service")
-            for view in well.views]  # fmt: skip
+    away = [
+        msgspec.structs.replace(view, service="leaving" if view.zone == "b" else "in service")
+        for view in well.views
+    ]
     assert kinds(msgspec.structs.replace(well, views=away)) == [("zone draining", ("b",))]
     two = [msgspec.structs.replace(view, version="2") if view.name == "n0" else view for view in well.views]
     assert kinds(msgspec.structs.replace(well, views=two)) == [("versions", ("1", "2"))]
-    out = [msgspec.structs.replace(view, addresses=[Address("x", "a", "withdrawn", "health")])
-           for view in well.views[:1]] + well.views[1:]  # fmt: skip
+    out = [
+        msgspec.structs.replace(view, addresses=[Address("x", "a", "withdrawn", "health")])
+        for view in well.views[:1]
+    ] + well.views[1:]
     assert kinds(msgspec.structs.replace(well, views=out)) == [("withdrawn", ("x", "a"))]
     out[0] = msgspec.structs.replace(out[0], addresses=[Address("x", "a", "unknown", reached=False)])
     assert kinds(msgspec.structs.replace(well, views=out)) == []
@@ -106,8 +121,12 @@
 
 
 def lines(path, *rows):
-    path.write_bytes(b"".join(msgspec.json.encode({"t": t, "proxy": who, "event": event, **told}) + b"\n"
-                              for t, who, event, told in rows))  # fmt: skip
+    path.write_bytes(
+        b"".join(
+            msgspec.json.encode({"t": t, "proxy": who, "event": event, **told}) + b"\n"
+            for t, who, event, told in rows
+        )
+    )
 
 
 def test_a_picture_is_made_of_logs_as_it_was_at_a_moment(tmp_path):
@@ -117,13 +136,24 @@
     def member(at, name, of, epoch, life):
         return at, name, "member", {"member": of, "epoch": epoch, "life": life}
 
-    lines(tmp_path / "n0.log", begin(1.0, "n0", 11, "a"), (1.1, "n0", "start", {}),
-          (1.2, "n0", "list", {"version": 3, "whole": True, "rows": ["s0 in service", "s1 draining"]}),
-          member(2.0, "n0", "n1", 21, "alive"), (3.0, "n0", "probe", {"server": "s0", "load": 0.4}),
-          (4.0, "n0", "duty", {"duty": "ledger", "change": "held", "term": 2}),
-          member(9.0, "n0", "n1", 21, "dead"), (9.1, "n0", "duty", {"term": "odd"}))  # fmt: skip
-    lines(tmp_path / "n1.log", begin(1.0, "n1", 21, "b"), (1.1, "n1", "start", {}),
-          member(2.0, "n1", "n0", 11, "alive"), (3.0, "n1", "stalled", {"seconds": 2.5}))  # fmt: skip
+    lines(
+        tmp_path / "n0.log",
+        begin(1.0, "n0", 11, "a"),
+        (1.1, "n0", "start", {}),
+        (1.2, "n0", "list", {"version": 3, "whole": True, "rows": ["s0 in service", "s1 draining"]}),
+        member(2.0, "n0", "n1", 21, "alive"),
+        (3.0, "n0", "probe", {"server": "s0", "load": 0.4}),
+        (4.0, "n0", "duty", {"duty": "ledger", "change": "held", "term": 2}),
+        member(9.0, "n0", "n1", 21, "dead"),
+        (9.1, "n0", "duty", {"term": "odd"}),
+    )
+    lines(
+        tmp_path / "n1.log",
+        begin(1.0, "n1", 21, "b"),
+        (1.1, "n1", "start", {}),
+        member(2.0, "n1", "n0", 11, "alive"),
+        (3.0, "n1", "stalled", {"seconds": 2.5}),
+    )
     with (tmp_path / "n1.log").open("ab") as log:
         log.write(b'{"t": 4, "half\n[]\nnothing\n')
     paths = sorted(tmp_path.glob("*.log"))
@@ -253,10 +283,15 @@
 
 def test_commands_say_in_one_line_what_they_cannot_do(tmp_path, capsys):
     (tmp_path / "bad.oxt").write_bytes(b"no")
-    for words in (["show"], ["draw", "--from", "nowhere", "-o", "x.txt"], ["diff", "no", "none"],
-                  ["show", "--from", str(tmp_path / "bad.oxt")], ["replay", str(tmp_path / "n"), "-o", "x"],
-                  ["draw", "--from", "127.0.0.1:1", "-o", "/nowhere/x.svg"],
-                  ["show", "--from", "@/no/file"]):  # fmt: skip
+    for words in (
+        ["show"],
+        ["draw", "--from", "nowhere", "-o", "x.txt"],
+        ["diff", "no", "none"],
+        ["show", "--from", str(tmp_path / "bad.oxt")],
+        ["replay", str(tmp_path / "n"), "-o", "x"],
+        ["draw", "--from", "127.0.0.1:1", "-o", "/nowhere/x.svg"],
+        ["show", "--from", "@/no/file"],
+    ):
         assert commands.main(words) == 2
         assert capsys.readouterr().err.count("\n") == 1
     keep.save(tmp_path / "a.oxt", fleet(5))
@@ -315,8 +350,18 @@
         rules = rig.cut(["n1", "n3"], ["n0", "n2", "n4"])
         halves = look(rig, [("cut", ("n1", "n3"))], 40)
         assert {view.name for view in halves.views} == set(rig.names)
-        look(rig, [("gone", ("n0",)), ("gone", ("n2",)), ("gone", ("n4",)), ("no holder", ("ledger",)),
-                   ("no holder", ("voters",))], 30, at=["n1", "n3"])  # fmt: skip
+        look(
+            rig,
+            [
+                ("gone", ("n0",)),
+                ("gone", ("n2",)),
+                ("gone", ("n4",)),
+                ("no holder", ("ledger",)),
+                ("no holder", ("voters",)),
+            ],
+            30,
+            at=["n1", "n3"],
+        )
         rig.mend(rules)
         rig.wait_members(within=60)
         look(rig, [], 40)
