--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -235,9 +235,9 @@
                 sess.stop()
             self.log.event("sent away", left=len(left), took=round(self.loop.now - began, 2))
             yield from self.loop.sleep(AWAY_HELD)
-            for close, since in list(self.pool.leaving.items()):
-                if since < self.loop.now - AWAY_HELD / 2:  # told to move, reads nothing: it must not be held
-                    close()
+            for leaving in list(self.pool.leaving.values()):
+                if leaving.since < self.loop.now - AWAY_HELD / 2:  # told to move, reads nothing: not held on
+                    leaving.close()
 
     # told by the wire
 
--- a/onyxhollow/memory/buffers.py
+++ b/onyxhollow/memory/buffers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 LONGEST_LINE = 4096
 SIZE = 2 * LONGEST_LINE
@@ -13,6 +14,15 @@
     """A line over the 4 KiB that the wire allows."""
 
 
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """A connection that only ends in order: nothing more is taken from it."""
+
+    since: float
+    close: Callable[[], None]
+    unsent: Callable[[], bool]  # whether last bytes, a final answer perhaps, are still to go out on it
+
+
 class BufferPool:
     """What all connections share. Buffers are in use only while bytes are in them: an idle connection costs
     none of the memory limit. How many connections are open, and which of them are only waited out, is kept
@@ -22,7 +32,7 @@
         self.spare: list[bytearray] = []
         self.open = 0
         self.full = 32 * 1024  # bytes waiting to be written to one side past which the other is not read on
-        self.leaving: dict[Callable[[], None], float] = {}  # closes one that only ends in order; since when
+        self.leaving: dict[int, Leaving] = {}  # by descriptor, in the order in which they began to end
 
     def borrow(self) -> bytearray:
         return self.spare.pop() if self.spare else bytearray(SIZE)
--- a/onyxhollow/operations/management.py
+++ b/onyxhollow/operations/management.py
@@ -52,7 +52,7 @@
     def make_room(self) -> bool:
         """Closes one that has been answered, else the one that has said nothing whole for longest."""
         if self.pool.leaving:
-            next(iter(self.pool.leaving))()
+            next(iter(self.pool.leaving.values())).close()
             return True
         if (oldest := next(iter(self.callers), None)) is None:
             return False
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -33,7 +33,7 @@
 LEAST_LEFT = (
     0.05  # seconds left to a client under which nothing is sent: held up, it would come after its end
 )
-BURST_PART = 0.5  # of what a cold server bears over its budget: for turns kept unused; the rest is for chance
+BURST_PART = 0.8  # of what a cold server bears over its budget: for turns kept unused; the rest is for chance
 FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
 FADE, DISTRUSTED, SURE = 7.0, 2.0, 3.0  # seconds until a third is left; score that bars; of what is certain
 STRAIN_FOR, LOAD_KEPT = 1.5, 8.0  # seconds for which word of overload bars a server; a report is carried on
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Generator
 
 from onyxhollow.loop import READ, WRITE, Hurry, Loop
-from onyxhollow.memory.buffers import BufferPool, LineBuffer
+from onyxhollow.memory.buffers import BufferPool, Leaving, LineBuffer
 from onyxhollow.memory.tables import Address
 
 LINGER = 0.5  # seconds of silence for which a closed one is drained: a reset would lose its last bytes
@@ -167,7 +167,7 @@
             self.loop.watch(self.fd, 0, None)
             self.closed = self.ended = True
             self.pool.open -= 1
-            self.pool.leaving.pop(self.close, None)
+            self.pool.leaving.pop(self.fd, None)
             self.inbox.drop()
             self.sock.close()
 
@@ -183,7 +183,7 @@
         with bytes unread the system would reset it, and its last line would be lost on the way."""
         if not self.closed:
             self.draining, self.came = True, self.loop.now
-            self.pool.leaving[self.close] = self.loop.now
+            self.pool.leaving[self.fd] = Leaving(self.loop.now, self.close, lambda: bool(self.out))
             task = self.loop.spawn(self.drain(self.loop.now + patience))
             self.wake = task.wake
 
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -134,6 +134,11 @@
                     self.speaker.receive_data(self.channel.inbox.rest())
                     self.channel.settle(False)
                 elif superseded():
+                    # What was written before counts as told, also where it is more than one read brings.
+                    if not self.channel.ended and not self.channel.connecting:
+                        self.channel.read()
+                        if len(self.channel.inbox):
+                            continue
                     raise ListError("left for another address")
                 elif self.channel.ended:
                     if self.channel.broken:
@@ -261,9 +266,9 @@
                 return False  # left because the fleet tells the list: no failure
             self.counters.add("list failures")
             if isinstance(error, SilentError):
-                # What a silent watch missed counts as told 2 s after its wait: the next one is opened at once,
-                # with no pause, however often. All watches may fall silent at once and the service be well;
-                # from the second in a row on it is told as a failure all the same.
+                # What a silent watch missed counts as told 2 s after its wait: the next one is opened at
+                # once, however often. All watches may fall silent at once and the service be well; from the
+                # second in a row on it is told as a failure all the same.
                 self.silences += 1
                 self.log("list silent", version=self.version, in_a_row=self.silences)
                 if self.silences > 1:
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -131,12 +131,12 @@
     def make_room(self) -> bool:
         """Connections that ask for nothing must not take the place of those that do."""
         now = self.loop.now
-        while self.crowded and self.pool.leaving:
-            close, since = next(iter(self.pool.leaving.items()))
-            if now - since < LAST_WORD:
+        for leaving in list(self.pool.leaving.values()) if self.crowded else ():
+            if not self.crowded or now - leaving.since < LAST_WORD:
                 break
-            close()
-            self.counters.add("leaving connections closed for room")
+            if not leaving.unsent():  # else its final answer would go with it
+                leaving.close()
+                self.counters.add("leaving connections closed for room")
         while self.crowded and (longest := self.table.longest_idle()) is not None:
             if now - longest.came < YOUNG:
                 break  # its line may be on the way
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -260,6 +260,27 @@
     assert first.got == REFUSED and len(others) == 12
 
 
+def test_a_last_answer_that_its_client_reads_slowly_is_not_given_up_for_room(loopback, monkeypatch):
+    monkeypatch.setattr(sessions, "LAST_WORD", 0.0)
+    proxy = loopback(sockets=OWN + 16)
+    client, server = proxy.standing()
+    (live,) = proxy.proxy.sessions.table.live
+    live.client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    line = b"m" + b"x" * 4000 + b"\r\n"
+    server.sock.settimeout(0.01)
+    while not live.client.out:
+        try:
+            server.sock.sendall(line)
+        except TimeoutError:
+            proxy.idle(0.01)
+    live.handle.facade.move(live.handle)
+    proxy.until(lambda: not proxy.proxy.sessions.table.live and proxy.proxy.pool.leaving)
+    monkeypatch.setattr(sessions, "YOUNG", 0.0)
+    others = [proxy.client(b"PING\r\n") for _ in range(40)]
+    proxy.until(lambda: sum(bool(peer.read() and peer.end) for peer in others) > 20)
+    proxy.until(lambda: client.read().endswith(b"MOVE\r\n") and client.end == "closed")
+
+
 # the end of the process
 
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -634,12 +634,14 @@
     assert old.read() is not None and old.end and not client.end
 
 
-def test_what_the_old_list_had_said_in_full_before_the_reload_is_used(loopback):
+@pytest.mark.parametrize("others", [0, 300])  # more than one read brings
+def test_what_the_old_list_had_said_in_full_before_the_reload_is_used(loopback, others):
     # Written to this proxy it counts as told, whatever becomes of the new address.
     proxy, nobody = loopback(), Toy()
     proxy.answer_list(LIST)
     old = proxy.until(lambda: b"index=8&wait=5000" in proxy.list.peers[0].read() and proxy.list.peers[0])
-    body = json.dumps({"seq": 9, "whole": False, "hosts": [proxy.row("a", "leaving")]}).encode()
+    rows = [{**proxy.row("a"), "host": f"other{n}", "health": "left"} for n in range(others)]
+    body = json.dumps({"seq": 9, "whole": False, "hosts": [*rows, proxy.row("a", "leaving")]}).encode()
     old.say(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
     time.sleep(0.02)
     nobody.sock.close()
