Each error of a system call has its place: a shortage here is held against nobody

Changed with it: EADDRNOTAVAIL, EAGAIN and EINTR from connect (were counted as the server's), ENOBUFS and ENOMEM from send and recv (broke the connection), a connection that epoll or the socket options refuse (was dropped unread; it gets BUSY now), a modify that fails (left the connection deaf), errors of accept that last (the loop span on them), EINTR of the poll.

--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -28,11 +28,12 @@
 from onyxhollow.operations import figures
 from onyxhollow.operations.management import PLAIN, Answer, Management
 from onyxhollow.service import Service, ServiceState
-from onyxhollow.wire.channel import OUR_OWN, ListenError, listen_socket
+from onyxhollow.wire.channel import ListenError, listen_socket
 from onyxhollow.wire.discovery import Discovery, ServerList, read_list, watch_wait
 from onyxhollow.wire.passing import Passing, Receiver
 from onyxhollow.wire.probes import Probes
-from onyxhollow.wire.sessions import Sessions
+from onyxhollow.wire.sessions import Sessions, turn_away
+from onyxhollow.wire.system_errors import LOST_IN_ACCEPT, Fault, fault_of
 
 ACCEPTS = 64  # connections taken in one turn of the loop, so that those open are not kept waiting
 OWN = 12  # descriptors that are no connections: the loop's, the listener, standard ones, signals, the file
@@ -304,16 +305,25 @@
             except (BlockingIOError, InterruptedError):
                 return True
             except OSError as error:
-                if error.errno in OUR_OWN:
-                    self.rest("accepts without a descriptor")
-                    return False
-                continue  # that connection has gone already
+                if error.errno in LOST_IN_ACCEPT:
+                    continue  # that connection has gone already
+                short = fault_of(error) is Fault.SHORTAGE
+                self.rest("accepts without a descriptor" if short else "accepts that failed")
+                return False
+            self.counters.add("connections accepted")
+            self.take_in(sock)
+        return False
+
+    def take_in(self, sock: socket.socket) -> None:
+        """Makes a session of a connection. One that can't be set up is owed its answer all the same."""
+        try:
             sock.setblocking(False)
             with contextlib.suppress(OSError):  # reset already: reading it will tell
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.counters.add("connections accepted")
             self.sessions.accept(sock)
-        return False
+        except OSError:
+            self.counters.add("connections refused for want of room")
+            turn_away(sock)
 
     def rest(self, why: str) -> None:
         """Told again at once for as long as connections wait, the loop would spin on them."""
--- a/onyxhollow/loop.py
+++ b/onyxhollow/loop.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import math
 import select
@@ -17,6 +18,7 @@
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 STALL = 0.005  # seconds late that a due time may come on a core that others use
 LONGEST_NAP = 1.0  # seconds: a lost wake-up costs no more than this
+POLL_PAUSE = 0.01  # seconds after a poll that failed: the loop must not spin on it
 SOON = 0.02  # seconds of one turn after which descriptors in a hurry are looked at between its callbacks
 
 
@@ -25,7 +27,8 @@
     if not before and events:
         epoll.register(fd, events)
     elif before and not events:
-        epoll.unregister(fd)
+        with contextlib.suppress(OSError):  # it is not listened for, whatever the system says
+            epoll.unregister(fd)
     elif before != events:
         epoll.modify(fd, events)
 
@@ -70,8 +73,8 @@
         again and again otherwise, and the loop would spin."""
         known = self.watched.get(fd)
         if events and call:
-            self.watched[fd] = (events, call)
             listen_for(self.epoll, fd, known[0] if known else 0, events)
+            self.watched[fd] = (events, call)
         elif known:
             del self.watched[fd]
             listen_for(self.epoll, fd, known[0], 0)
@@ -119,7 +122,7 @@
             nap = 0.0
         elif self.due:
             nap = min(longest, max(0.0, self.due[0][0] - time.monotonic()))
-        events = self.epoll.poll(nap)
+        events = self.poll(nap)
         self.now = time.monotonic()
         for fd, what in events:
             self.call(fd, what)
@@ -131,6 +134,17 @@
             if self.hurry:
                 self.hurry.look()
 
+    def poll(self, nap: float) -> list[tuple[int, int]]:
+        """What has come within that time; nothing, a moment later, where the system can't tell."""
+        try:
+            return self.epoll.poll(nap)
+        except InterruptedError:
+            return []
+        except OSError as error:
+            self.failed("poll", error)
+            time.sleep(POLL_PAUSE)
+            return []
+
     def call(self, fd: int, what: int) -> None:
         if fd not in self.watched:
             return  # let go by one served before it
--- a/onyxhollow/operations/management.py
+++ b/onyxhollow/operations/management.py
@@ -12,7 +12,8 @@
 from onyxhollow.memory.buffers import BufferPool
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Address
-from onyxhollow.wire.channel import OUR_OWN, Channel, listen_socket
+from onyxhollow.wire.channel import Channel, listen_socket
+from onyxhollow.wire.system_errors import Fault, fault_of
 
 PATIENCE = 5.0  # seconds for a whole call, and for its answer to be read
 LONGEST_HEAD, LONGEST_BODY = 16 * 1024, 64 * 1024  # bytes of a call
@@ -42,7 +43,7 @@
             try:
                 sock, _peer = self.listener.accept()
             except OSError as error:
-                if error.errno in OUR_OWN and self.make_room():
+                if fault_of(error) is Fault.SHORTAGE and self.make_room():
                     continue
                 return  # none, or gone already; it is told again as long as one waits
             sock.setblocking(False)
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -11,13 +11,13 @@
 from onyxhollow.loop import READ, WRITE, Hurry, Loop
 from onyxhollow.memory.buffers import BufferPool, Leaving, LineBuffer
 from onyxhollow.memory.tables import Address
+from onyxhollow.wire.system_errors import SHORTAGE_PAUSE, Fault, fault_of
 
 LINGER = 0.5  # seconds of silence for which a closed one is drained: a reset would lose its last bytes
 DRAINED = 2.0  # seconds for which it is drained at the most, however much still comes
 SLOW_READER = 10.0  # seconds for the last bytes to go out to one that reads slowly
 THROWN = bytearray(64 * 1024)  # where bytes that nobody wants are read to
 THROWS = 8  # such reads in one turn of the loop: 60 MB must go by without keeping others waiting
-OUR_OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # this machine is short of something
 ABORT = struct.pack("ii", 1, 0)
 
 
@@ -35,8 +35,9 @@
         self.connecting, self.paused = connecting, False
         self.ended = self.broken = self.closed = self.wrote = False  # ended: told its end; broken: by a reset
         self.draining, self.came = False, 0.0  # its bytes are thrown away; when the last of them came
+        self.resting = False  # this machine is short of something: it is not listened to for a moment
+        self.loop.watch(self.fd, self.events(), self.ready)  # OSError: no connection is made of it
         pool.open += 1
-        self.listen()
 
     @classmethod
     def dial(cls, loop: Loop, address: Address, pool: BufferPool, wake: Callable[[], None]) -> Channel:
@@ -45,26 +46,52 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             begun = sock.connect_ex(address)
-            if begun not in (0, errno.EINPROGRESS):
+            if begun not in (0, errno.EINPROGRESS, errno.EINTR):  # interrupted, it goes on by itself
                 raise OSError(begun, "connect")
+            return cls(loop, sock, pool, wake, connecting=True)
         except OSError:
             sock.close()
             raise
-        return cls(loop, sock, pool, wake, connecting=True)
+
+    def events(self) -> int:
+        """What is to be listened for."""
+        if self.connecting:
+            return WRITE
+        return (0 if self.ended or self.paused else READ) | (WRITE if self.out else 0)
 
     def listen(self) -> None:
-        if self.closed:
+        if self.closed or self.resting:
             return
-        if self.connecting:
-            events = WRITE
-        else:
-            events = (0 if self.ended or self.paused else READ) | (WRITE if self.out else 0)
-        self.loop.watch(self.fd, events, self.ready)
+        try:
+            self.loop.watch(self.fd, self.events(), self.ready)
+        except OSError:  # the system has no room for it now
+            self.rest()
+
+    def rest(self) -> None:
+        """This machine is short of something: nothing is lost by it, and nothing known of the other side.
+
+        Told again at once that the connection is ready, the loop would spin."""
+        if not self.resting and not self.closed:
+            self.resting = True
+            self.loop.watch(self.fd, 0, None)
+            self.loop.spawn(self.go_on(self.loop.now + SHORTAGE_PAUSE))
+
+    def go_on(self, at: float) -> Generator[float, None, None]:
+        while self.loop.now < at:
+            yield at
+        self.resting = False
+        if not self.closed and not self.broken:
+            if not self.connecting:
+                self.flush()
+            self.listen()
 
     def ready(self, events: int) -> None:
         if self.connecting:
-            if self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                self.ended = self.broken = True
+            stands = self.came_up()
+            if stands is None:
+                self.rest()
+                return
+            self.ended = self.broken = not stands
             self.connecting = False
             if self.broken:
                 self.loop.watch(self.fd, 0, None)
@@ -77,6 +104,15 @@
         self.wake()
         self.listen()
 
+    def came_up(self) -> bool | None:
+        """Whether the connection stands, once the system has told that it does or has failed.
+
+        None: the system can't say now."""
+        try:
+            return not self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        except OSError as error:
+            return None if fault_of(error) is Fault.SHORTAGE else False
+
     def read(self) -> None:
         if self.draining:
             self.throw_away()
@@ -91,16 +127,20 @@
         """How many bytes have come: 0 also at the end and after a reset."""
         try:
             count = self.sock.recv_into(space, len(space), flags)
-        except (BlockingIOError, InterruptedError):
-            return 0
-        except OSError:
-            self.ended = self.broken = True
-            self.out.clear()
+        except OSError as error:
+            self.not_received(fault_of(error))
             return 0
         if not count:
             self.ended = True
         return count
 
+    def not_received(self, fault: Fault) -> None:
+        if fault is Fault.SHORTAGE:
+            self.rest()
+        elif fault is not Fault.NOT_READY:
+            self.ended = self.broken = True
+            self.out.clear()
+
     def throw_away(self) -> None:
         for _ in range(THROWS):
             if not self.receive(THROWN, socket.MSG_TRUNC):  # TCP: not even copied
@@ -122,12 +162,8 @@
         if self.closed or self.broken:
             return
         if not self.out and not self.connecting:
-            try:
-                sent = self.sock.send(data)
-            except (BlockingIOError, InterruptedError):
-                sent = 0
-            except OSError:
-                self.fail()
+            sent = self.send(data)
+            if self.broken:
                 return
             if sent == len(data):
                 self.wrote = True
@@ -139,15 +175,22 @@
     def flush(self) -> None:
         if not self.out:
             return
+        sent = self.send(self.out)
+        if not self.broken:
+            del self.out[:sent]
+            self.wrote = self.wrote or not self.out
+
+    def send(self, data: bytes | memoryview | bytearray) -> int:
+        """How many bytes the system has taken: none also where it can't just now, or never will."""
         try:
-            del self.out[: self.sock.send(self.out)]
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
+            return self.sock.send(data)
+        except OSError as error:
+            fault = fault_of(error)
+        if fault is Fault.SHORTAGE:
+            self.rest()
+        elif fault is not Fault.NOT_READY:
             self.fail()
-            return
-        if not self.out:
-            self.wrote = True
+        return 0
 
     def fail(self) -> None:
         """A write failed. What the other side said before it went, BYE perhaps, is still there to be read."""
--- a/onyxhollow/wire/probes.py
+++ b/onyxhollow/wire/probes.py
@@ -10,8 +10,9 @@
 from onyxhollow.memory.buffers import BufferPool, LongLineError
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Address, Addresses
-from onyxhollow.wire.channel import OUR_OWN, Channel
+from onyxhollow.wire.channel import Channel
 from onyxhollow.wire.messages import read_report, rest, word
+from onyxhollow.wire.system_errors import Fault, fault_of_connect
 
 ENDS = {b"PONG": DialEnd.OK, b"ERR": DialEnd.ERROR, b"BUSY": DialEnd.FULL}
 MOST_OWED = 3  # answers a connection may owe; a server that owes more may never have got the questions
@@ -71,7 +72,7 @@
             standing.channel.write(b"STATS\r\n" if self.field else b"PING\r\n")
             end, load = yield from self.answer(standing, started + self.patience)
         except OSError as error:
-            if error.errno in OUR_OWN:
+            if fault_of_connect(error) is Fault.SHORTAGE:
                 self.counters.add("probes without a descriptor")
                 return  # nothing was asked: it says nothing of the server
             end = DialEnd.CONNECT_FAILED
--- a/onyxhollow/wire/servers.py
+++ b/onyxhollow/wire/servers.py
@@ -11,8 +11,9 @@
 from onyxhollow.memory.buffers import BufferPool, LongLineError
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Addresses
-from onyxhollow.wire.channel import OUR_OWN, Channel
+from onyxhollow.wire.channel import Channel
 from onyxhollow.wire.messages import read_report, rest, word
+from onyxhollow.wire.system_errors import Fault, fault_of_connect
 
 ENDS = {b"BUSY": DialEnd.FULL, b"ERR": DialEnd.ERROR, b"BYE": DialEnd.OK, b"MOVE": DialEnd.CANCELLED}
 
@@ -74,7 +75,8 @@
             channel = Channel.dial(self.loop, address, self.pool, attempt.wake)
         except OSError as error:
             # Without a descriptor of our own nothing was tried, and nothing is known of the server.
-            return Dialled(DialEnd.NOT_SENT if error.errno in OUR_OWN else DialEnd.CONNECT_FAILED)
+            ours = fault_of_connect(error) is Fault.SHORTAGE
+            return Dialled(DialEnd.NOT_SENT if ours else DialEnd.CONNECT_FAILED)
         result = Dialled()
         try:
             result = yield from self.exchange(channel, until, attempt)
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
+import socket
 from collections import deque
 from collections.abc import Callable, Generator
 from dataclasses import asdict, dataclass
@@ -158,6 +160,17 @@
         return self.pool.open >= self.descriptors
 
 
+def turn_away(sock: socket.socket) -> None:
+    """Refuses a connection that nothing can be kept for: at once, with its line read, as closed over unread
+    bytes it would be reset and the answer lost."""
+    with contextlib.suppress(OSError):
+        sock.setblocking(False)
+        sock.send(BUSY)
+        sock.shutdown(socket.SHUT_WR)
+        sock.recv(SIZE)
+    sock.close()
+
+
 @dataclass(frozen=True, slots=True)
 class Carried:
     """All that an open connection takes along to another process. Both read one monotonic clock."""
--- /dev/null
+++ b/onyxhollow/wire/system_errors.py
@@ -0,0 +1,68 @@
+"""What the error of a system call on a socket says: whose fault it is, and so what is done about it.
+
+docs/proxy.md has the same as a table, call by call. An error number that is not named here counts as the
+peer's: the connection is gone.
+"""
+
+from __future__ import annotations
+
+import errno
+from enum import Enum
+
+SHORTAGE_PAUSE = 0.05  # seconds until something that this machine was short of is tried again
+
+
+class Fault(Enum):
+    """Whose fault an error is."""
+
+    NOT_READY = "not ready"  # nobody's: later
+    SHORTAGE = "shortage"  # this machine's: nothing was tried and nothing is known of the other side
+    NETWORK = "network"  # the way to the other side
+    PEER = "peer"  # the connection, or the one at its other end
+
+
+NOT_READY = frozenset({errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.EINPROGRESS, errno.EALREADY})
+SHORTAGES = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.ENOSPC,  # epoll: no more descriptors may be watched
+        errno.EADDRNOTAVAIL,  # connect: no port is left
+    }
+)
+NETWORK = frozenset(
+    {
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENONET,
+        errno.EACCES,
+        errno.EPERM,
+    }
+)
+# What accept tells of the one connection that it would have given, which has gone.
+LOST_IN_ACCEPT = NETWORK | {
+    errno.ECONNABORTED,
+    errno.ECONNRESET,
+    errno.EPROTO,
+    errno.ENOPROTOOPT,
+    errno.EOPNOTSUPP,
+    errno.ETIMEDOUT,
+}
+
+
+def fault_of(error: OSError) -> Fault:
+    """Whose fault an error of a call on a connected or connecting socket is."""
+    if error.errno in NOT_READY:
+        return Fault.NOT_READY
+    if error.errno in SHORTAGES:
+        return Fault.SHORTAGE
+    return Fault.NETWORK if error.errno in NETWORK else Fault.PEER
+
+
+def fault_of_connect(error: OSError) -> Fault:
+    """The same for a connect that could not be begun: EAGAIN says there that no port is left."""
+    return Fault.SHORTAGE if error.errno == errno.EAGAIN else fault_of(error)
