No age goes by a wall clock; groups are not strewn by turns at cold servers that lapse

Cause: policy.py, home: the first of eight places that has a turn; where turns lapse another one has one at each balancer and moment, and the group's work is paid for at all of them. Now two arriving places at the most are passed over for want of a turn. Where nothing arrives nothing changes.

Starts of servers (wire/remote_clock.py) are read without this machine's wall clock, which was taken once, at the start: an hour ahead every new server counted as warm. In the first lists of a process a server is so much older than the latest start; one first seen later counts as 2.5 s old at the most; a successor takes the ages over. Files handed over and log lines carry monotonic times.

wire/carried.py holds what an open connection takes along (moved, not changed); of two channels of one that is passed on the first is let go if the second can't be watched.

--- a/onyxhollow/__main__.py
+++ b/onyxhollow/__main__.py
@@ -85,13 +85,13 @@
     return status
 
 
-def read_files(told: argparse.Namespace, clock_ahead: float) -> tuple[Config, Fleet | None]:
+def read_files(told: argparse.Namespace) -> tuple[Config, Fleet | None]:
     """The configuration, and the fleet file where one is named; ValueError if one of them is no good."""
     from onyxhollow.lifecycle.config import ConfigError, read_config
 
     if not told.config:
         raise ConfigError("no configuration: neither --config nor $LB_CONFIG")
-    config = read_config(told.config, clock_ahead)
+    config = read_config(told.config)
     if not told.fleet:
         return config, None
     from onyxhollow.fleet.file import read_fleet
@@ -103,24 +103,23 @@
     """Runs one proxy until a signal ends it."""
     from onyxhollow.lifecycle import proxy
 
-    ahead = proxy.clock_ahead()
     try:
-        config, fleet = read_files(told, ahead)
+        config, fleet = read_files(told)
     except ImportError as error:
         return lacks("fleet", error)
     except ValueError as error:  # ConfigError, FleetError
         return no_good(error)
     if fleet is None:
-        return proxy.serve(config, told.config, ahead, signals)
+        return proxy.serve(config, told.config, signals)
     from onyxhollow.fleet.node import attach
 
-    return proxy.serve(config, told.config, ahead, signals, attach(fleet))
+    return proxy.serve(config, told.config, signals, attach(fleet))
 
 
 def check(told: argparse.Namespace) -> int:
     """Says what a configuration holds."""
     try:
-        config, fleet = read_files(told, 0.0)
+        config, fleet = read_files(told)
     except ImportError as error:
         return lacks("fleet", error)
     except ValueError as error:
--- a/onyxhollow/fleet/lists.py
+++ b/onyxhollow/fleet/lists.py
@@ -96,7 +96,7 @@
         }
         self.taking = True
         try:
-            self.discovery.take(told.rows, read_list(body, self.discovery.clock_ahead))
+            self.discovery.take(told.rows, read_list(body, self.discovery.clock, self.node.loop.now))
         except ListError:
             return False
         finally:
--- a/onyxhollow/lifecycle/config.py
+++ b/onyxhollow/lifecycle/config.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import os
+import time
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
@@ -13,6 +14,7 @@
 from onyxhollow.memory.tables import Address
 from onyxhollow.settings import WireError, read_settings, rows, seconds, section, text, whole
 from onyxhollow.wire.discovery import ListError, ServerList, read_address, read_list
+from onyxhollow.wire.remote_clock import RemoteClock
 
 
 class ConfigError(ValueError):
@@ -32,10 +34,11 @@
     settings: Settings
     connect_time: float  # seconds for a connection to come up
     probe_time: float  # seconds for a probe to be answered
+    clock: RemoteClock = field(default_factory=RemoteClock, compare=False)  # that the known list was read by
     keys: frozenset[str] = frozenset()  # all that the file names, but the servers known
 
 
-def read_config(path: str, clock_ahead: float, again: bool = False) -> Config:
+def read_config(path: str, again: bool = False) -> Config:
     """again: for a reload; the file says then which list to follow, $LB_DISCOVERY only at the start."""
     environment = {name: value for name, value in os.environ.items() if not again or name != "LB_DISCOVERY"}
     try:
@@ -48,7 +51,7 @@
     if not isinstance(told, Mapping):
         raise ConfigError(f"{path}: not an object")
     try:
-        return decode(told, environment, clock_ahead)
+        return decode(told, environment)
     except (WireError, ListError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
@@ -77,7 +80,7 @@
     return frozenset(found)
 
 
-def decode(told: Mapping[str, Any], environment: Mapping[str, str], clock_ahead: float) -> Config:
+def decode(told: Mapping[str, Any], environment: Mapping[str, str]) -> Config:
     options = section(told, "settings", needed=True)
     settings, _ = read_settings(options)
     seed = text(told, "seed", "0")
@@ -85,7 +88,7 @@
         start = int(seed, 16)
     except ValueError:
         raise WireError(f"seed: impossible value {seed[:40]!r}") from None
-    limits = section(told, "limits")
+    limits, clock = section(told, "limits"), RemoteClock()
     management = environment.get("LB_MANAGEMENT") or told.get("management")
     return Config(
         name=environment.get("LB_NAME") or text(told, "name", "proxy"),
@@ -95,7 +98,8 @@
         seed=start,
         sockets=whole(limits.get("sockets", 1024), "limits: sockets", 64),
         memory=whole(limits.get("memory_mb", 64), "limits: memory_mb", 16) << 20,
-        known=read_list(told.get("known") or {"seq": -1, "hosts": []}, clock_ahead),
+        known=read_list(told.get("known") or {"seq": -1, "hosts": []}, clock, time.monotonic()),
+        clock=clock,
         settings=settings,
         connect_time=seconds(section(options, "ceilings"), "connectTimeoutNs", 1.0) or 1.0,
         probe_time=min(seconds(row, "handshakeTargetNs") for row in rows(options, "listeners")),
--- a/onyxhollow/lifecycle/handover.py
+++ b/onyxhollow/lifecycle/handover.py
@@ -20,7 +20,7 @@
 
 from onyxhollow.wire.channel import ListenError
 
-VERSION = 1  # of what stands in the files; another's is not read
+VERSION = 2  # of what stands in the files; another's is not read
 STARTING, TAKING, STOPPING = "starting", "taking", "stopping"  # what a successor says
 LARGEST = 4 * 1024 * 1024  # bytes of what is handed over
 BEGIN_WITHIN = 1.0  # seconds in which the part of the successor comes free, if one has just moved up
@@ -60,7 +60,7 @@
 
 
 def encode_state(token: str, at: float, common: dict[str, Any], records: list[dict[str, Any]]) -> bytes:
-    """at: Unix time, which both processes read off one clock."""
+    """at: on the machine's monotonic clock, which both processes read; the wall clock may be stepped."""
     header = {"version": VERSION, "token": token, "at": at, "records": len(records), "common": common}
     return b"".join(orjson.dumps(row, option=orjson.OPT_APPEND_NEWLINE) for row in (header, *records))
 
@@ -133,7 +133,7 @@
         beside = f"{self.state_path}-{os.getpid()}"
         try:
             with open(beside, "wb") as file:
-                file.write(encode_state(token, time.time(), common, records))
+                file.write(encode_state(token, time.monotonic(), common, records))
             os.replace(beside, self.state_path)
         except OSError:
             with contextlib.suppress(OSError):
@@ -146,7 +146,7 @@
                 text = file.read(LARGEST + 1)
         except OSError as error:
             raise StateError(str(error.strerror)) from None
-        return decode_state(text, self.token, time.time())
+        return decode_state(text, self.token, time.monotonic())
 
     def heard(self) -> dict[str, Any]:
         """What a living successor says; nothing if there is none."""
--- a/onyxhollow/lifecycle/log.py
+++ b/onyxhollow/lifecycle/log.py
@@ -28,7 +28,9 @@
         self.levels[event] = level - 1.0, now, 0
         if kept_back:
             values["kept_back"] = kept_back  # of this kind, since the last that went
-        row = {"t": round(time.time(), 3), "proxy": self.name, "event": event, **values}
+        # For people the time of day, which may be stepped; spans are told by the monotonic figure beside it.
+        times = {"t": round(time.time(), 3), "monotonic": round(now, 3)}
+        row = {**times, "proxy": self.name, "event": event, **values}
         line = orjson.dumps(row, default=str, option=orjson.OPT_APPEND_NEWLINE)
         # A pipe that nobody reads would stop the whole proxy: its log is given up before its sessions.
         if len(self.held) + len(line) > HELD:
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -10,7 +10,6 @@
 import signal
 import socket
 import sys
-import time
 import traceback
 from collections.abc import Callable, Generator
 from typing import Protocol
@@ -69,7 +68,6 @@
     def __init__(
         self,
         config: Config,
-        clock_ahead: float,
         out: int,
         read_again: Callable[[], Config],
         given: socket.socket | None = None,
@@ -97,7 +95,7 @@
             self.counters,
             config.discovery,
             wait=watch_wait(settings.ask_within, settings.balancers),
-            clock_ahead=clock_ahead,
+            clock=config.clock,
             version=config.known.version,
             pushed=not settings.watched,
             addresses=self.addresses,
@@ -373,8 +371,9 @@
             yield from self.loop.sleep(STATE_LOOK)
             try:
                 common, records = handover.read_state()
+                self.discovery.clock.take_over(common["starts"])
                 if not self.list_heard and common["discovery"] == list(self.config.discovery):
-                    self.take_list(read_list(common["list"], self.discovery.clock_ahead))
+                    self.take_list(read_list(common["list"], self.discovery.clock, self.loop.now))
                 servers = self.facade.take_back(common, records)
                 self.log.event("taken over", servers=servers, version=common["list"]["seq"])
                 return
@@ -398,6 +397,7 @@
         try:
             common, records = self.facade.describe()
             common |= {"discovery": self.discovery.address, "list": self.discovery.known()}
+            common["starts"] = self.discovery.clock.starts
             handover.write_state(token, common, records)
             self.log.event("handed over", servers=len(records))
         except Exception as error:  # a successor without it is better than no successor
@@ -589,7 +589,6 @@
 def serve(
     config: Config,
     path: str,
-    clock_ahead: float,
     signals: SignalQueue,
     attach: Callable[[Proxy], None] = lambda proxy: None,
 ) -> int:
@@ -605,9 +604,8 @@
                 handover = Handover(os.environ.get("TMPDIR", ""))
         proxy = Proxy(
             config,
-            clock_ahead,
             sys.stdout.fileno(),
-            lambda: read_config(path, clock_ahead, again=True),
+            lambda: read_config(path, again=True),
             given,
             handover,
         )
@@ -617,8 +615,3 @@
         return 2
     proxy.run(signals)
     return 0
-
-
-def clock_ahead() -> float:
-    """What Unix time is ahead of the loop's clock; taken once, so that start times compare as equal."""
-    return time.time() - time.monotonic()
--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -29,11 +29,11 @@
 
 TICK, LIST_CALLS = 0.05, 8.0  # seconds of the one timer; calls a second for a troubled list, of all together
 LIST_PAUSE = 4.0  # seconds at the most until it is asked again: 6 s after a change that counts as told
+MOST_PASSED_OVER = 2  # arriving servers that a group's home does not wait for
 HELD_UP = 0.15  # seconds that may pass between a look at the clock and a write: windows allow for them
 LEAST_LEFT = (
     0.05  # seconds left to a client under which nothing is sent: held up, it would come after its end
 )
-BURST_PART = 0.8  # of what a cold server bears over its budget: for turns kept unused; the rest is for chance
 FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
 FADE, DISTRUSTED, SURE = 7.0, 2.0, 3.0  # seconds until a third is left; score that bars; of what is certain
 STRAIN_FOR, LOAD_KEPT = 1.5, 8.0  # seconds for which word of overload bars a server; a report is carried on
@@ -260,23 +260,26 @@
         level, at = self.tokens.get(server, (0.0, now))
         warmth = self.share + (1.0 - self.share) * max(0.0, now - (server.started or 0.0)) / self.time
         budget = fill * server.size / self.time * min(1.0, warmth) * self.multiple
-        rate = CAUTION * budget
-        level += (now - at) * rate
-        most = 1.0 + rate * self.kept_for(budget)
-        if most >= 2.0:  # turns come faster than they lapse
-            level = min(1.0, level)
-        elif level > most:
-            level -= math.ceil(level - most)
+        if budget * self.fall_time >= 1.0:  # turns come faster than they lapse
+            level = min(1.0, level + (now - at) * CAUTION * budget)
+        else:
+            level = self.lapse(level, now - at, budget)
         self.tokens[server] = (level, now)
         return level
 
-    def kept_for(self, budget: float) -> float:
-        """Seconds for which a turn is kept, budget being this balancer's calls a second. A server falls from
-        N + 2 root(N) + 2 calls within the stated time, N being the budget of all, or 3 root(N) + 3 for an N
-        under 30. Turns kept add to a burst what comes due in the time for which they are kept."""
+    def lapse(self, level: float, span: float, budget: float) -> float:
+        """The level after some seconds where turns to send come seldom, so that one left unused lapses.
+
+        budget: this balancer's calls a second. A server falls from N + 2 root(N) + 2 calls within the stated
+        time, N being the budget of all, or from N + 3 root(N) + 3 for an N under 30. That slack says how long
+        a turn is kept: all those kept, used in one burst, stay within it.
+        """
         calls = max(1.0, budget * self.balancers * self.fall_time)
-        slack = (3.0 if calls < 30.0 else 2.0) * (math.sqrt(calls) + 1.0)
-        return BURST_PART * self.fall_time * ((1.0 + slack / calls) / CAUTION - 1.0)
+        slack = (3.0 if calls < 30.0 else 2.0) * (math.sqrt(calls) + 1.0) / calls
+        kept_for = self.fall_time * ((1.0 + slack) / CAUTION - 1.0)
+        level += span * CAUTION * budget
+        most = 1.0 + kept_for * CAUTION * budget
+        return level - math.ceil(level - most) if level > most else level
 
 
 class Balancer:
@@ -575,13 +578,27 @@
         if group is None or known and self.well(known, sess):
             return None if group is None and self.sparse else known  # chance, or what all pick
         at, steps = bisect(self.ring, (draw(group), 0)), range(min(HOMES, len(self.ring)))
-        # Arriving ones too, at their pace: the groups of servers replaced at once would fill those left over.
-        fit = self.open_to((self.fleet[self.ring[(at + step) % len(self.ring)][1]] for step in steps), sess)
+        fit = self.places((self.fleet[self.ring[(at + step) % len(self.ring)][1]] for step in steps), sess)
         first = next(fit, None)
         if first is None or not self.calm or self.blind:  # a home for each zone takes room that nobody sees
             return first
         return next((s for s in (first, *fit) if s.zone == self.zone and self.load_of(s) < NEAR_LOAD), first)
 
+    def places(self, ring: Iterable[Server], sess: Session) -> Iterator[Server]:
+        """Where a group's home may stand now. Arriving servers too, at their pace: the groups of servers that
+        are replaced at once would fill those left over.
+
+        Where turns to send to them come seldom another server has one at each moment, and the group's work
+        would be paid for at all of them: only a few are passed over for want of a turn."""
+        passed_over = 0
+        for server in dict.fromkeys(ring):
+            if not self.well(server, sess):
+                continue
+            if self.eased(server, sess):
+                yield server
+            elif (passed_over := passed_over + 1) == MOST_PASSED_OVER:
+                return
+
     def open_to(self, servers: Iterable[Server], sess: Session) -> Iterator[Server]:
         return (s for s in servers if self.well(s, sess) and self.eased(s, sess))
 
--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -17,6 +17,7 @@
 from onyxhollow.memory.counters import Counters
 from onyxhollow.memory.tables import Address, Addresses
 from onyxhollow.wire.channel import Channel
+from onyxhollow.wire.remote_clock import RemoteClock
 
 READY = {"active": Readiness.IN_SERVICE, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 ANSWER = 3.5  # seconds for an answer that is due at once: a busy service works through calls in turn
@@ -70,8 +71,8 @@
     return host, int(port)
 
 
-def read_list(told: Any, clock_ahead: float) -> ServerList:
-    """clock_ahead: what Unix time is ahead of the loop's clock."""
+def read_list(told: Any, clock: RemoteClock, now: float) -> ServerList:
+    """clock: that of the machines which the list names. ListError says what is no good."""
     if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
         raise ListError("not an object with hosts")
     version = told.get("seq")
@@ -79,6 +80,9 @@
         raise ListError(f"seq: impossible value {version!r}")
     entries: list[Entry] = []
     addresses: dict[str, Address] = {}
+    latest = max((start_of(row) for row in told["hosts"]), default=0.0)
+    if latest:
+        clock.hear(latest, now)
     for row in told["hosts"]:
         if not isinstance(row, dict) or not isinstance(row.get("host"), str) or not row["host"]:
             raise ListError(f"host: impossible value {row!r}")
@@ -87,16 +91,16 @@
             raise ListError(f"health: impossible value {row.get('health')!r}")
         if ready is not Readiness.GONE or row.get("dial"):
             addresses[name] = read_address(row.get("dial"))
-        size, born, cell = row.get("share", 1.0), row.get("born_ms") or 0, row.get("block") or 0
-        for value in (size, born, cell):
-            if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < math.inf:
+        size, cell, born = row.get("share", 1.0), row.get("block") or 0, start_of(row)
+        for value in (size, cell):
+            if not is_figure(value):
                 raise ListError(f"{name}: impossible figure {value!r}")
         entries.append(
             Entry(
                 name=name,
                 readiness=ready,
                 size=float(size),
-                started=born / 1000 - clock_ahead if born else None,
+                started=clock.start(name, born, now) if born else None,
                 zone=str(row.get("site") or ""),
                 cell=int(cell),
                 kind=str(row.get("class") or ""),
@@ -105,6 +109,19 @@
     return ServerList(version, told.get("whole") is True, entries, addresses)
 
 
+def is_figure(value: Any) -> bool:
+    """Whether a value of the list is a finite number from 0."""
+    return not isinstance(value, bool) and isinstance(value, int | float) and 0 <= value < math.inf
+
+
+def start_of(row: Any) -> float:
+    """When a server started, in seconds of wall time; 0 for long ago."""
+    told = row.get("born_ms") or 0 if isinstance(row, dict) else 0
+    if not is_figure(told):
+        raise ListError(f"{row.get('host')}: impossible figure {told!r}")
+    return float(told) / 1000
+
+
 class Call:
     """One HTTP connection to discovery, used for one call after another while it lives."""
 
@@ -172,7 +189,7 @@
         counters: Counters,
         address: Address,
         wait: float,
-        clock_ahead: float,
+        clock: RemoteClock,
         version: int,
         pushed: bool,
         addresses: Addresses,
@@ -182,7 +199,7 @@
         soon: bool = False,
     ) -> None:
         self.loop, self.pool, self.counters, self.address = loop, pool, counters, address
-        self.wait, self.clock_ahead, self.version = wait, clock_ahead, version
+        self.wait, self.clock, self.version = wait, clock, version
         self.addresses, self.told, self.log = addresses, told, log
         self.pushed = self.asked = pushed  # pushed: the module expects to be told without having asked
         self.busy, self.rng = 0, Random(seed)  # answers until the service no longer counts as a busy one
@@ -257,7 +274,7 @@
             until = self.loop.now + patience
             body = yield from self.call.get(target, until, lambda: self.next is not None or self.resting)
             told = orjson.loads(body)
-            news = read_list(told, self.clock_ahead)
+            news = read_list(told, self.clock, self.loop.now)
         except (ListError, OSError, ValueError, h11.ProtocolError) as error:
             self.hang_up()
             if self.next is not None:
@@ -306,6 +323,7 @@
             lines = [f"{e.name} {e.readiness.value}" + self.age(e) for e in news.entries]
             self.log("list", version=news.version, whole=news.whole, rows=lines[:24])
         self.version = news.version
+        self.clock.following = True
         self.told(ListKind.FULL if news.whole else ListKind.CHANGES, news.entries)
 
     def age(self, entry: Entry) -> str:
--- a/onyxhollow/wire/sessions.py
+++ b/onyxhollow/wire/sessions.py
@@ -11,12 +11,13 @@
 from typing import Any
 
 from onyxhollow.facade import Facade, Handle
-from onyxhollow.interface import Customer, DialEnd, Listener, Repeat, Scope
+from onyxhollow.interface import Customer, DialEnd, Listener
 from onyxhollow.loop import Loop, Task
 from onyxhollow.memory.buffers import SIZE, BufferPool, LongLineError
 from onyxhollow.memory.counters import ACCEPTED, REFUSED, TORN_DOWN, Counters
 from onyxhollow.memory.tables import Addresses, SessionTable
 from onyxhollow.service import Service, ServiceState
+from onyxhollow.wire.carried import Carried, read_carried
 from onyxhollow.wire.channel import Channel
 from onyxhollow.wire.messages import MalformedError, Opening, read_opening, rest, told_figure, word
 from onyxhollow.wire.passing import Passing
@@ -171,46 +172,6 @@
     sock.close()
 
 
-@dataclass(frozen=True, slots=True)
-class Carried:
-    """All that an open connection takes along to another process. Both read one monotonic clock."""
-
-    opening: Opening
-    listener: Listener  # with the terms that it was taken under
-    server: str
-    started: float
-    heard: float
-    out: list[float]  # when lines went to the server that it has not brought back
-    load: float | None
-    last: bytes  # the server's word before its end, if it has said one
-    read: tuple[bytes, bytes]  # from client and server, and not used yet
-    unsent: tuple[bytes, bytes]  # to client and server
-
-
-def read_carried(record: dict[str, Any]) -> Carried:
-    def pair(name: str) -> tuple[bytes, bytes]:
-        client, server = record[name]
-        if name == "read" and max(len(client), len(server)) > SIZE:
-            raise ValueError(f"read: over {SIZE} bytes")
-        return client.encode("latin-1"), server.encode("latin-1")
-
-    terms = record["listener"]
-    listener = Listener(**{**terms, "repeat": Repeat(terms["repeat"]), "scope": Scope(terms["scope"])})
-    load = record["load"]
-    return Carried(
-        read_opening(record["line"].encode("latin-1")),
-        listener,
-        str(record["server"]),
-        float(record["started"]),
-        float(record["heard"]),
-        [float(at) for at in record["out"]],
-        None if load is None else float(load),
-        record["last"].encode("latin-1"),
-        pair("read"),
-        pair("unsent"),
-    )
-
-
 class ClientSession:
     """One client's connection. carried: it was open in the process before this one, to that server."""
 
@@ -231,13 +192,19 @@
         self.came = self.loop.now
         self.passing: Passing | None = None  # the connection is to be passed on there
         self.passed: bool | None = None  # what the successor has said of it
-        shared.table.add(self)
         if carried is not None:
-            self.server, self.open, self.told = Channel(self.loop, server, shared.pool, self.wake), True, True
+            try:
+                self.server = Channel(self.loop, server, shared.pool, self.wake)
+            except OSError:  # the process before this one keeps the connection
+                self.client.close()
+                raise
+            self.open = self.told = True
+        shared.table.add(self)
+        self.task: Task = self.loop.spawn(self.run(carried))
+        if carried is not None and self.server is not None:
             for place, channel in enumerate((self.client, self.server)):
                 channel.inbox.put(carried.read[place])  # before anything newer is read
                 channel.write(carried.unsent[place])
-        self.task: Task = self.loop.spawn(self.run(carried))
 
     def wake(self) -> None:
         self.task.wake()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,7 @@
 from onyxhollow.lifecycle.proxy import Proxy
 from onyxhollow.policy import Balancer
 from onyxhollow.wire.discovery import read_list
+from onyxhollow.wire.remote_clock import RemoteClock
 
 CALLS = Listener("calls", handshake_target=0.3, dial_timeout=2.0, message_target=0.1)
 PLAIN = Settings(
@@ -147,7 +148,7 @@
             seed=5,
             sockets=sockets,
             memory=64 << 20,
-            known=read_list(told, 0.0),
+            known=read_list(told, RemoteClock(), 0.0),
             settings=settings,
             connect_time=0.25,
             probe_time=0.3,
@@ -155,10 +156,9 @@
         reader, writer = os.pipe()
         os.set_blocking(writer, False)
         os.set_blocking(reader, False)
-        ahead = time.time() - time.monotonic()
         self.log_reader, self.proxy = (
             reader,
-            Proxy(self.config, ahead, writer, lambda: self.config, given, handover),
+            Proxy(self.config, writer, lambda: self.config, given, handover),
         )
         self.proxy.discovery.rng.uniform = lambda low, high: (low + high) / 2  # watches of the middle length
         self.counts = self.proxy.counters.counts
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -269,7 +269,7 @@
 
 
 def test_no_file_that_lacks_a_key_or_is_cut_off_is_taken(tmp_path):
-    old, path = decode(TOLD, {}, 0.0), tmp_path / "config.json"
+    old, path = decode(TOLD, {}), tmp_path / "config.json"
     whole = json.dumps(TOLD)
     files = [whole[:place] for place in range(0, len(whole), 10)]
     for place, found in objects(TOLD):
@@ -288,15 +288,15 @@
     for text in files:
         path.write_text(text)
         with pytest.raises(ConfigError):
-            fresh = read_config(str(path), 0.0)
+            fresh = read_config(str(path))
             if why := needs_restart(old, fresh):
                 raise ConfigError(why)
     assert len(files) > 80
     added = changed(("settings", "listeners", 0), "name", "new")  # dropped, added, with another effect
     added["settings"]["listeners"][0]["semantics"] = "non_idempotent"
-    assert needs_restart(old, decode(added, {}, 0.0)) == "" == needs_restart(decode(added, {}, 0.0), old)
+    assert needs_restart(old, decode(added, {})) == "" == needs_restart(decode(added, {}), old)
     one = changed(("settings", "listeners"), 0)
-    assert needs_restart(old, decode(one, {}, 0.0)) == "" and decode(one, {}, 0.0).settings.most_dials == 3
+    assert needs_restart(old, decode(one, {})) == "" and decode(one, {}).settings.most_dials == 3
 
 
 def test_a_dropped_listeners_sessions_keep_their_terms_and_fewer_dials_are_for_new_ones(served, monkeypatch):
@@ -317,7 +317,7 @@
     too_late = proxy.open("calls")
     proxy.until(lambda: too_late.read() == b"ERR\r\n")
     assert not on_its_way.read() and read_figures(proxy.ask("counters")[1])["lb_success_total", "calls"] == 1
-    proxy.proxy.read_again = lambda: read_config("/nowhere", 0.0)
+    proxy.proxy.read_again = lambda: read_config("/nowhere")
     proxy.proxy.reload()
     told = read_figures(proxy.ask("counters")[1])
     assert (told["lb_reconfig_ok_total", None], told["lb_reconfig_failed_total", None]) == (1, 1)
@@ -551,7 +551,7 @@
     lines = text.split(b"\n")
     cut = [b"\n".join(lines[:count]) + b"\n" for count in range(1, 6)]
     cut += [text[:place] for place in range(0, len(text), 7)]
-    odd = [text + lines[1] + b"\n", text.replace(b'"version":1', b'"version":2'), b"\xff" * 90, b"[]\n"]
+    odd = [text + lines[1] + b"\n", text.replace(b'"version":2', b'"version":1'), b"\xff" * 90, b"[]\n"]
     for broken in cut + odd:
         with pytest.raises(StateError):
             decode_state(broken, "me", 101.0)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -498,6 +498,23 @@
     assert 0 < dials(100) < 25
 
 
+def test_a_group_is_not_strewn_over_arriving_servers_that_happen_to_have_a_turn(start):
+    # Another one had a turn at each balancer and moment: the group's work was paid for at eight servers.
+    homes, customers = set(), {"acme": Customer("acme", connections=4000.0)}
+    for n in range(100):
+        host = start(n, balancers=200, me=n, groups=True, customers=customers)
+        old = host.servers(*(f"s{n}" for n in range(12)))
+        host.wait(1.0)
+        host.servers(*(f"c{n}" for n in range(12)), kind=ListKind.CHANGES, started=host.now)
+        for server in old:
+            server.strained_at = math.inf
+        host.wait(3.0 + n / 50)
+        sess = host.take(group="g", stands=False)
+        if (home := host.balancer.home(sess)) is not None:
+            homes.add(home.name)
+    assert 1 <= len(homes) <= 2
+
+
 def test_after_a_restart_among_many_a_server_has_room_for_a_share_of_what_customers_may_hold(start):
     told = {"customers": {"acme": Customer("acme", 1.0, 600.0)}}
     placed = []
