--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -503,13 +503,14 @@
     homes, customers = set(), {"acme": Customer("acme", connections=4000.0)}
     for n in range(100):
         host = start(n, balancers=200, me=n, groups=True, customers=customers)
-        old = host.servers(*(f"s{n}" for n in range(12)))
+        old = [f"s{n}" for n in range(12)]
+        host.servers(*old)
         host.wait(1.0)
         host.servers(*(f"c{n}" for n in range(12)), kind=ListKind.CHANGES, started=host.now)
-        for server in old:
-            server.strained_at = math.inf
+        host.servers(*old, kind=ListKind.CHANGES, readiness=Readiness.GONE)
         host.wait(3.0 + n / 50)
-        sess = host.take(group="g", stands=False)
+        sess = host.take(stands=False)
+        sess.group = "g"
         if (home := host.balancer.home(sess)) is not None:
             homes.add(home.name)
     assert 1 <= len(homes) <= 2
