After an outage of the list a new server may be as old as the outage was long

Cause: wire/remote_clock.py counted all that was first seen after the first list as 2.5 s old at the most; discovery is down for 8 s there, into the start of a release, and what had started in it was eased in as if it had just begun. Now the bound is 2.5 s before the time up to which the list was known without a break. tests/test_clocks.py tells both sides of it.

--- a/onyxhollow/wire/discovery.py
+++ b/onyxhollow/wire/discovery.py
@@ -204,6 +204,7 @@
         self.pushed = self.asked = pushed  # pushed: the module expects to be told without having asked
         self.busy, self.rng = 0, Random(seed)  # answers until the service no longer counts as a busy one
         self.silences = 0  # calls in a row that nothing came on
+        self.interrupted = True  # no call has been answered yet, or not since one failed
         self.pause = ASK_AGAIN  # before the next call, after a failure
         self.soon = soon  # the first answer is waited for, news or none
         self.rows: dict[str, Any] = {}  # the list as it was told, for a successor
@@ -274,6 +275,8 @@
             until = self.loop.now + patience
             body = yield from self.call.get(target, until, lambda: self.next is not None or self.resting)
             told = orjson.loads(body)
+            if not self.interrupted:  # what has changed since the last answer is told at once
+                self.clock.known_until = self.loop.now
             news = read_list(told, self.clock, self.loop.now)
         except (ListError, OSError, ValueError, h11.ProtocolError) as error:
             self.hang_up()
@@ -282,6 +285,7 @@
             if self.resting:
                 return False  # left because the fleet tells the list: no failure
             self.counters.add("list failures")
+            self.interrupted = True
             if isinstance(error, SilentError):
                 # What a silent watch missed counts as told 2 s after its wait: the next one is opened at
                 # once, however often. All watches may fall silent at once and the service be well; from the
@@ -298,7 +302,8 @@
             self.version = -1 if isinstance(error, ValueError) else self.version
             self.told(ListKind.FAILED, [])
             return False
-        self.asked, self.soon, self.silences = False, False, 0
+        self.asked, self.soon, self.silences, self.interrupted = False, False, 0, False
+        self.clock.known_until = self.loop.now
         self.take(told["hosts"], news)
         return True
 
@@ -323,7 +328,6 @@
             lines = [f"{e.name} {e.readiness.value}" + self.age(e) for e in news.entries]
             self.log("list", version=news.version, whole=news.whole, rows=lines[:24])
         self.version = news.version
-        self.clock.following = True
         self.told(ListKind.FULL if news.whole else ListKind.CHANGES, news.entries)
 
     def age(self, entry: Entry) -> str:
--- a/onyxhollow/wire/remote_clock.py
+++ b/onyxhollow/wire/remote_clock.py
@@ -21,13 +21,15 @@
 
     Nothing is heard of before it has happened: the latest start heard of is the least that their clock can
     show. In the first lists of a process a server counts as started so long before the latest one. One first
-    seen later, or with a new start, counts as a few seconds old at the most, whatever its clock says. What a
-    server has once counted as it goes on counting as.
+    seen later, or with a new start, counts as a few seconds older at the most than the time up to which the
+    list was known, whatever its clock says. What a server has once counted as it goes on counting as.
     """
 
     def __init__(self) -> None:
         self.ahead = -math.inf  # what their clock is ahead of the monotonic one, at least
-        self.following = False  # the list has been heard: what is new in it has just started
+        self.known_until = (
+            -math.inf
+        )  # the list is known up to here: what is new in it started later, or just before
         self.starts: dict[str, tuple[float, float]] = {}  # by server: as told, and on the monotonic clock
 
     def hear(self, wall: float, now: float) -> None:
@@ -39,7 +41,7 @@
         known = self.starts.pop(server, None)
         if known is None or known[0] != wall:
             started = min(now, wall - self.ahead)
-            known = wall, max(started, now - LISTED_WITHIN) if self.following else started
+            known = wall, max(started, self.known_until - LISTED_WITHIN)
         self.starts[server] = known
         if len(self.starts) > MOST:
             del self.starts[next(iter(self.starts))]
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -39,12 +39,16 @@
 def test_what_is_new_in_a_followed_list_is_young_whatever_its_clock_says(step):
     clock = RemoteClock()
     starts(clock, 100.0, row("a", 5000.0), row("b", 4900.0))
-    clock.following = True
+    clock.known_until = 130.0
     (new,) = starts(clock, 130.0, row("n", 5029.0 + step))
     assert 127.5 <= new <= 130.0
+    clock.known_until = 140.0
     again, known = starts(clock, 140.0, row("b", 5039.0 + step), row("a", 5000.0))
     assert 137.5 <= again <= 140.0 and known == 100.0  # what was known keeps its age
     assert starts(clock, 150.0, row("n", 5029.0 + step)) == [new]
+    # Nothing was heard from 140 on: what is new may be as old as that, and no older.
+    (unheard,) = starts(clock, 160.0, row("m", 5045.0 + step))
+    assert 137.5 <= unheard <= 160.0
 
 
 @pytest.mark.parametrize("step", [-HOUR, -5.0, 5.0, HOUR])
