--- a/onyxhollow/policy.py
+++ b/onyxhollow/policy.py
@@ -31,9 +31,7 @@
 LIST_PAUSE = 4.0  # seconds at the most until it is asked again: 6 s after a change that counts as told
 MOST_PASSED_OVER = 2  # arriving servers that a group's home does not wait for
 HELD_UP = 0.15  # seconds that may pass between a look at the clock and a write: windows allow for them
-LEAST_LEFT = (
-    0.05  # seconds left to a client under which nothing is sent: held up, it would come after its end
-)
+LEAST_LEFT = 0.05  # seconds left to a client under which nothing is sent: held up, it would come too late
 FRESH, SMOOTHING = 5.0, 0.3  # latency: seconds until a figure is none; weight of the newest
 FADE, DISTRUSTED, SURE = 7.0, 2.0, 3.0  # seconds until a third is left; score that bars; of what is certain
 STRAIN_FOR, LOAD_KEPT = 1.5, 8.0  # seconds for which word of overload bars a server; a report is carried on
