--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,104 +1,139 @@
-"""Planned restart of a proxy whose list is pushed; an operator sends clients away right after the start."""
+"""A second process of the proxy starts beside the first, while silent clients connect by hundreds."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import signal
+import socket
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from standins import BROKEN, HELD, UNUSABLE, Client, Discovery, Proxy, Server, call, ping  # noqa: E402
+from standins import BROKEN, HELD, HOST, UNUSABLE, Client, Discovery, Proxy, Server, call  # noqa: E402
 from standins import free_address, make_config, run_case, until_ready  # noqa: E402
 
-ALLOWED = 4.0  # seconds from the call of `out-of-service`, by the page
-TOLERANCE = 0.2  # seconds, for this test's own delays
-
-
-class Front:
-    """The front: asks PING every 0.1 s, and sends clients until 0.2 s after the first no."""
-
-    def __init__(self, record, listen: str) -> None:
-        self.record = record
-        self.listen = listen
-        self.takes = False
-        self.refused_since = 0.0
-        self.clients: list[Client] = []
-
-    async def ask(self) -> None:
-        """Ask for ever."""
-        while True:
-            if await ping(self.listen):
-                if not self.takes:
-                    self.record.say("front", "PONG: takes the proxy in")
-                self.takes, self.refused_since = True, 0.0
-            elif self.takes:
-                self.refused_since = self.refused_since or self.record.now()
-                if self.record.now() - self.refused_since >= 0.2:
-                    self.record.say("front", "no PONG: sends no more clients")
-                    self.takes = False
-            await asyncio.sleep(0.1)
-
-    async def send(self) -> None:
-        """Send a client every 0.2 s while the proxy is taken in."""
-        while True:
-            if self.takes:
-                self.clients.append(Client(self.record, self.listen).start())
-            await asyncio.sleep(0.2)
+SOCKETS = 256  # the limit, by the configuration; the pages name 256 to 1,024
+STANDING = 40  # usual clients with an open connection: under a third of the descriptors
+SILENT = 400  # "by hundreds"
+LISTEN_FD = 7  # as the platform passes it on
+SAY_YES = 6.0  # seconds that the new process has
+KILL_AFTER = 2.0 + 0.7  # seconds from SIGTERM to SIGKILL: the longest deadline and 0.7 s
+
+
+def count_sockets(processes: list[Proxy]) -> tuple[int, list[int]]:
+    """Return the number of different sockets that the processes hold, and that of each one."""
+    found: list[set[str]] = []
+    for process in processes:
+        held = set()
+        folder = f"/proc/{process.process.pid}/fd"
+        with contextlib.suppress(OSError):  # it has ended
+            for name in os.listdir(folder):
+                with contextlib.suppress(OSError):
+                    target = os.readlink(f"{folder}/{name}")
+                    if target.startswith("socket:"):
+                        held.add(target)
+        found.append(held)
+    return len(set().union(*found)), [len(held) for held in found]
+
+
+def hold_listener() -> str:
+    """Open the clients' listening socket as descriptor 7, as the platform does; return its address.
+
+    Called before anything else may have taken that number.
+    """
+    with socket.socket() as listener:
+        listener.bind((HOST, 0))
+        listener.listen(1024)
+        os.dup2(listener.fileno(), LISTEN_FD)
+        return f"{HOST}:{listener.getsockname()[1]}"
 
 
 async def case(record, scratch, processes, trouble) -> int:
-    """Restart the proxy, send clients away, and look 4 s later; return the exit code."""
+    """Replace the process once, and count its sockets all the while; return the exit code."""
     discovery = Discovery(record)
     await discovery.start()
     servers = [Server(record, f"s{number}") for number in range(3)]
     for server in servers:
         await server.start()
         discovery.put(server)
-    listen, management = free_address(), free_address()
-    config = make_config(listen, discovery, discovery.snapshot(), discovery="pushed")
-    config["management"] = management
-    environment = {"LB_MANAGEMENT": management}
-    processes.append(Proxy(record, scratch, config, environment))
+    known = discovery.snapshot()
+    managements = [free_address(), free_address()]
+
+    def start(number: int) -> Proxy:
+        config = make_config(listen, discovery, known)
+        config["limits"]["sockets"] = SOCKETS
+        config["management"] = managements[number]
+        environment = {"LB_MANAGEMENT": managements[number], "LB_LISTEN_FD": str(LISTEN_FD)}
+        processes.append(Proxy(record, scratch, config, environment, f"proxy{number}.log", (LISTEN_FD,)))
+        return processes[-1]
+
+    old = start(0)
     if not await until_ready(listen):
         return UNUSABLE
-    front = Front(record, listen)
-    tasks = [asyncio.create_task(front.ask()), asyncio.create_task(front.send())]
-    await asyncio.sleep(5)
-    if trouble:
-        processes[0].send(signal.SIGTERM)
-        for _ in range(370):  # the longest deadline is 2 s: SIGKILL would come 2.7 s after SIGTERM
-            if processes[0].process.poll() is not None:
-                break
-            await asyncio.sleep(0.01)
-        else:
-            return UNUSABLE
-        record.say("platform", "the old process has ended")
-        processes.append(Proxy(record, scratch, config, environment))
-    status = 0
-    end = record.now() + 10
-    while not status and record.now() < end:  # as soon as the new process answers operators
-        asked_at = record.now()
-        status = await call(management, "/control/out-of-service", "POST")
-        await asyncio.sleep(0 if status else 0.01)
-    record.say("operator", f"POST /control/out-of-service: {status}, called at {asked_at:.3f}")
-    if not 200 <= status < 300:
-        return UNUSABLE  # a no is no promise
-    while record.now() < asked_at + ALLOWED + TOLERANCE:
+    standing = []
+    for _ in range(STANDING):
+        standing.append(Client(record, listen).start())
         await asyncio.sleep(0.02)
-    ready = await call(management, "/control/ready")
-    pong = await ping(listen)
-    held = [client.identity for client in front.clients if client.answer == "UP" and not client.end]
-    seconds = record.now() - asked_at
-    record.say("judge", f"{seconds:.2f} s after the call: ready {ready}, PING answered PONG: {pong}")
-    record.say("judge", f"{seconds:.2f} s after the call: held and not moved: {len(held)} {held}")
-    for task in tasks:
+    most, over, ending = 0, [], False
+
+    async def watch() -> None:
+        nonlocal most
+        while not ending:
+            total, each = count_sockets(processes)
+            if total > most:
+                most = total
+                record.say("platform", f"sockets held: {total}, by process {each}")
+            if total > SOCKETS:
+                over.append((record.now(), total))
+            await asyncio.sleep(0.01)
+
+    async def be_silent() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as sock:
+            sock.setblocking(False)
+            with contextlib.suppress(OSError):
+                host, port = listen.split(":")
+                await loop.sock_connect(sock, (host, int(port)))
+                while await loop.sock_recv(sock, 64):
+                    pass
+
+    watching = asyncio.create_task(watch())
+    await asyncio.sleep(1)
+    record.say("silent", f"{SILENT} clients connect and say nothing")
+    silent = [asyncio.create_task(be_silent()) for _ in range(SILENT)]
+    await asyncio.sleep(0.1)
+    if trouble:
+        new = start(1)
+        end = record.now() + SAY_YES
+        while await call(managements[1], "/control/ready") != 200:
+            if record.now() > end or new.process.poll() is not None:
+                return UNUSABLE
+            await asyncio.sleep(0.02)
+        record.say("platform", "the new process has said yes")
+        old.send(signal.SIGTERM)
+        end = record.now() + KILL_AFTER
+        while old.process.poll() is None and record.now() < end:
+            await asyncio.sleep(0.02)
+        record.say("platform", f"the old process: {'ended' if old.process.poll() is not None else 'SIGKILL'}")
+        if old.process.poll() is None:
+            old.process.kill()
+    await asyncio.sleep(4)
+    ending = True
+    await watching
+    for task in silent:
         task.cancel()
-    if not front.clients or not any(client.answer == "UP" for client in front.clients):
+    up = sum(client.answer == "UP" for client in standing)
+    if over:
+        record.say("judge", f"over the limit of {SOCKETS} from {over[0][0]:.3f} to {over[-1][0]:.3f}")
+    record.say("judge", f"most sockets held together: {most}, limit {SOCKETS}; standing clients up: {up} of {STANDING}")
+    if up < STANDING:
         return UNUSABLE
-    return BROKEN if ready == 200 or pong or held else HELD
+    return BROKEN if over else HELD
 
 
+listen = hold_listener()
 sys.exit(run_case(FOLDER, case))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,85 +1,104 @@
-"""A pushed list: the list service is down for 4 s, and has a drain to tell at its return."""
+"""Planned restart of a proxy whose list is pushed; an operator sends clients away right after the start."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
-from standins import BROKEN, HELD, UNUSABLE, Client, Discovery, Proxy, Server  # noqa: E402
+from standins import BROKEN, HELD, UNUSABLE, Client, Discovery, Proxy, Server, call, ping  # noqa: E402
 from standins import free_address, make_config, run_case, until_ready  # noqa: E402
 
-GRACE = 0.250 + 0.050  # rules.drainGraceNs, and 50 ms on sockets
-OUTAGE = 4.0  # seconds; the pages name "some seconds" and 8 s
-ROUNDS = 4
-GROUP = 8  # sessions that come together, twice a second
-SESSION_SECONDS = 2.0
+ALLOWED = 4.0  # seconds from the call of `out-of-service`, by the page
+TOLERANCE = 0.2  # seconds, for this test's own delays
+
+
+class Front:
+    """The front: asks PING every 0.1 s, and sends clients until 0.2 s after the first no."""
+
+    def __init__(self, record, listen: str) -> None:
+        self.record = record
+        self.listen = listen
+        self.takes = False
+        self.refused_since = 0.0
+        self.clients: list[Client] = []
+
+    async def ask(self) -> None:
+        """Ask for ever."""
+        while True:
+            if await ping(self.listen):
+                if not self.takes:
+                    self.record.say("front", "PONG: takes the proxy in")
+                self.takes, self.refused_since = True, 0.0
+            elif self.takes:
+                self.refused_since = self.refused_since or self.record.now()
+                if self.record.now() - self.refused_since >= 0.2:
+                    self.record.say("front", "no PONG: sends no more clients")
+                    self.takes = False
+            await asyncio.sleep(0.1)
+
+    async def send(self) -> None:
+        """Send a client every 0.2 s while the proxy is taken in."""
+        while True:
+            if self.takes:
+                self.clients.append(Client(self.record, self.listen).start())
+            await asyncio.sleep(0.2)
 
 
 async def case(record, scratch, processes, trouble) -> int:
-    """Play the outages, each with one drain at its end; return the exit code."""
+    """Restart the proxy, send clients away, and look 4 s later; return the exit code."""
     discovery = Discovery(record)
     await discovery.start()
-    servers = [Server(record, f"s{number}") for number in range(4)]
+    servers = [Server(record, f"s{number}") for number in range(3)]
     for server in servers:
         await server.start()
         discovery.put(server)
-    listen = free_address()
+    listen, management = free_address(), free_address()
     config = make_config(listen, discovery, discovery.snapshot(), discovery="pushed")
-    processes.append(Proxy(record, scratch, config))
+    config["management"] = management
+    environment = {"LB_MANAGEMENT": management}
+    processes.append(Proxy(record, scratch, config, environment))
     if not await until_ready(listen):
         return UNUSABLE
-    clients: list[Client] = []
-    told: list[tuple[float, float, Server]] = []  # told at, back in service at, server
-
-    def come() -> None:
-        for _ in range(GROUP):
-            client = Client(record, listen).start()
-            clients.append(client)
-            asyncio.get_running_loop().call_later(SESSION_SECONDS, client.leave)
-
-    async def come_for(seconds: float) -> None:
-        """Let groups of sessions come, the first one 0.35 s from now."""
-        end = record.now() + seconds
-        await asyncio.sleep(0.35)
-        while record.now() < end:
-            come()
-            await asyncio.sleep(0.5)
-
-    await come_for(2)
-    for number in range(ROUNDS):
-        server = servers[number % len(servers)]
-        if trouble:
-            discovery.go_down()
-            await come_for(OUTAGE)
-            discovery.refused.clear()
-            await asyncio.wait_for(discovery.refused.wait(), 10)
-            await asyncio.sleep(0.02)  # the service comes back between two calls
-            discovery.come_back()
+    front = Front(record, listen)
+    tasks = [asyncio.create_task(front.ask()), asyncio.create_task(front.send())]
+    await asyncio.sleep(5)
+    if trouble:
+        processes[0].send(signal.SIGTERM)
+        for _ in range(370):  # the longest deadline is 2 s: SIGKILL would come 2.7 s after SIGTERM
+            if processes[0].process.poll() is not None:
+                break
+            await asyncio.sleep(0.01)
         else:
-            await come_for(OUTAGE)
-        server.draining = True
-        discovery.put(server, "leaving")
-        start = record.now()
-        await come_for(3)
-        told.append((start, record.now(), server))
-        server.draining = False
-        discovery.put(server, "active")
-        await come_for(2)
-    late = 0
-    for start, end, server in told:
-        after = [round(at - start, 3) for at, _ in server.opens if start < at < end]
-        over = [delay for delay in after if delay > GRACE]
-        late += len(over)
-        record.say("judge", f"{server.name} drains, told at {start:.3f}: OPEN lines after {after} s; over {GRACE:.3f} s: {over}")
-    answers = [client.answer for client in clients]
-    record.say("judge", f"clients {len(clients)}, UP {answers.count('UP')}, late sends {late}")
-    if answers.count("UP") < len(clients) / 2:
+            return UNUSABLE
+        record.say("platform", "the old process has ended")
+        processes.append(Proxy(record, scratch, config, environment))
+    status = 0
+    end = record.now() + 10
+    while not status and record.now() < end:  # as soon as the new process answers operators
+        asked_at = record.now()
+        status = await call(management, "/control/out-of-service", "POST")
+        await asyncio.sleep(0 if status else 0.01)
+    record.say("operator", f"POST /control/out-of-service: {status}, called at {asked_at:.3f}")
+    if not 200 <= status < 300:
+        return UNUSABLE  # a no is no promise
+    while record.now() < asked_at + ALLOWED + TOLERANCE:
+        await asyncio.sleep(0.02)
+    ready = await call(management, "/control/ready")
+    pong = await ping(listen)
+    held = [client.identity for client in front.clients if client.answer == "UP" and not client.end]
+    seconds = record.now() - asked_at
+    record.say("judge", f"{seconds:.2f} s after the call: ready {ready}, PING answered PONG: {pong}")
+    record.say("judge", f"{seconds:.2f} s after the call: held and not moved: {len(held)} {held}")
+    for task in tasks:
+        task.cancel()
+    if not front.clients or not any(client.answer == "UP" for client in front.clients):
         return UNUSABLE
-    return BROKEN if late else HELD
+    return BROKEN if ready == 200 or pong or held else HELD
 
 
 sys.exit(run_case(FOLDER, case))
