Review case 1: without a count of sockets the case could not run

Cause: where the descriptors of a process can't be read, the test would have reported that the rule held.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -130,7 +130,7 @@
     if over:
         record.say("judge", f"over the limit of {SOCKETS} from {over[0][0]:.3f} to {over[-1][0]:.3f}")
     record.say("judge", f"most sockets held together: {most}, limit {SOCKETS}; standing clients up: {up} of {STANDING}")
-    if up < STANDING:
+    if up < STANDING or not most:
         return UNUSABLE
     return BROKEN if over else HELD
 
