Both processes of a proxy that is replaced keep the limit on sockets together

What callers saw: a proxy with a limit of 256 sockets that is replaced beside 400 silent clients held 368 to 435 sockets in its two processes. The platform counts that as a crash, with all its clients. Cause: compute_limits divides the whole limit among the parts of each process, and no process knew what the other one holds. Change: both processes publish how many sockets they use, in a file in $TMPDIR that they map into memory, and each accept goes by what is left of the shared limit. A process that can be replaced keeps free what a successor uses at its start. At the limit the predecessor closes its connections without a request, with the grace that holds for one process too. It works since a process never opens a connection that the sum of both does not allow, whatever order they run in.

--- a/onyxhollow/lifecycle/accepting.py
+++ b/onyxhollow/lifecycle/accepting.py
@@ -63,9 +63,9 @@
     def accept_batch(self) -> bool:
         """Accept a batch of pending connections; return whether the queue was emptied."""
         for _ in range(MAX_ACCEPTS_PER_TURN):
-            if self.pool.open_connections >= self.max_connections:
+            if self.pool.budget.used >= self.max_connections:
                 self.sessions.free_descriptors()
-            if self.pool.open_connections >= self.max_connections:
+            if self.pool.budget.used >= self.max_connections:
                 self.pause("accepts put off for want of room")
                 return False
             try:
--- a/onyxhollow/lifecycle/handover.py
+++ b/onyxhollow/lifecycle/handover.py
@@ -3,7 +3,8 @@
 Each role has a file, `onyxhollow-serving` and `onyxhollow-successor`, locked by the process in that role. The
 system releases the lock when the process ends, however it ends. The successor announces its state in the file
 that it has locked. When it announces that it starts, the serving process writes its own state for it to
-`onyxhollow-state`: a header and one record per endpoint, as JSON lines.
+`onyxhollow-state`: a header and one record per endpoint, as JSON lines. In `onyxhollow-sockets` both publish
+how many sockets they use.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
 import orjson
 
+from onyxhollow.lifecycle.socket_counts import SocketCountFile
 from onyxhollow.wire.listening import ListenError
 
 FORMAT_VERSION = 2  # of the files; files of another version are ignored
@@ -32,6 +34,9 @@
 LOCK_RETRY_INTERVAL_SECONDS = 0.01
 MAX_STATE_AGE_SECONDS = 10.0
 CLOCK_TOLERANCE_SECONDS = 1.0  # by which the time of a state file may lie in the future
+# The counters of the file with the numbers of sockets.
+SERVING_COUNT = 0
+SUCCESSOR_COUNT = 1
 
 
 def open_inherited_socket(text: str) -> socket.socket:
@@ -167,6 +172,9 @@
             time.sleep(LOCK_RETRY_INTERVAL_SECONDS)
         self.successor_lock = descriptor
         self.has_no_role = self.successor_lock is None  # two other processes have the roles
+        self.published_sockets = 0
+        self.predecessor_publishes = False  # until its state says so
+        self.socket_counts = None if self.has_no_role else self.open_socket_counts(folder)
         if not self.take_over():
             self.announce(STARTING)
 
@@ -176,6 +184,8 @@
             descriptor = try_lock(self.serving_path)
             if descriptor is not None:
                 self.serving_lock = descriptor
+                self.write_socket_count(SERVING_COUNT, self.published_sockets)
+                self.write_socket_count(SUCCESSOR_COUNT, 0)
                 os.ftruncate(self.successor_lock, 0)
                 os.close(self.successor_lock)
                 self.successor_lock = None
@@ -207,6 +217,7 @@
             fd = os.open(self.successor_path, os.O_RDONLY | os.O_CLOEXEC)
             try:
                 fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)  # succeeds only if there is no successor
+                self.write_socket_count(SUCCESSOR_COUNT, 0)  # of a successor that has died
             except BlockingIOError:
                 announcement = orjson.loads(os.pread(fd, MAX_ANNOUNCEMENT_BYTES, 0))
                 is_valid = isinstance(announcement, dict) and announcement.get("version") == FORMAT_VERSION
@@ -215,6 +226,38 @@
                 os.close(fd)
         return {}
 
+    # Numbers of sockets: the methods of SocketCounts.
+
+    def open_socket_counts(self, folder: str) -> SocketCountFile | None:
+        """Return the numbers of sockets, or None without space for them; the successor lock is held."""
+        with contextlib.suppress(OSError, ValueError):
+            counts = SocketCountFile(os.path.join(folder, "onyxhollow-sockets"))
+            counts.write(SUCCESSOR_COUNT, 0)
+            return counts
+        return None
+
+    def write_socket_count(self, role: int, count: int) -> None:
+        """Set the number of sockets of a role."""
+        if self.socket_counts is not None:
+            self.socket_counts.write(role, count)
+
+    @property
+    def other_publishes(self) -> bool:
+        """Whether the other process publishes the number of its sockets, as far as this one knows."""
+        return not self.is_successor or (self.predecessor_publishes and self.socket_counts is not None)
+
+    def publish_sockets(self, count: int) -> None:
+        """Publish the number of sockets that this process uses."""
+        self.published_sockets = count
+        if not self.has_no_role:
+            self.write_socket_count(SUCCESSOR_COUNT if self.is_successor else SERVING_COUNT, count)
+
+    def count_other_sockets(self) -> int:
+        """Return the number of sockets that the other process has published; 0 without one."""
+        if self.socket_counts is None:
+            return 0
+        return self.socket_counts.read(SERVING_COUNT if self.is_successor else SUCCESSOR_COUNT)
+
     def write_state(self, token: str, common: dict[str, Any], records: list[dict[str, Any]]) -> None:
         """Write the state file for the successor with this token.
 
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -18,7 +18,7 @@
 from onyxhollow.lifecycle.draining import ClientMigrator, OperatorDrain
 from onyxhollow.lifecycle.first_list import FirstList
 from onyxhollow.lifecycle.handover import Handover
-from onyxhollow.lifecycle.limits import compute_limits
+from onyxhollow.lifecycle.limits import Limits, compute_limits
 from onyxhollow.lifecycle.log import Log
 from onyxhollow.lifecycle.operator_pages import OperatorPages
 from onyxhollow.lifecycle.reloading import BYTES_PER_MEBIBYTE, ConfigReloader
@@ -68,6 +68,7 @@
     ) -> None:
         self.counters = Counters()
         self.pool = BufferPool()
+        self.pool.budget.counts = handover
         self.addresses = EndpointAddresses()
         self.log = Log(log_descriptor, config.name)
         self.loop = Loop(self.report_failure)
@@ -190,12 +191,22 @@
         limits = compute_limits(config, self.management is not None)
         if self.management is not None:
             self.management.max_connections = limits.management_connections
+        self.apply_connection_budget(limits)
         self.shutdown.stop_time = limits.stop_time
         self.acceptor.max_connections = limits.accepted_connections
         self.sessions.connection_limit = limits.client_connections
         self.health_checker.max_connections = limits.health_check_connections
         self.pool.high_water_mark = limits.high_water_mark
 
+    def apply_connection_budget(self, limits: Limits) -> None:
+        """Apply the limits on the connections of this process and of the whole proxy."""
+        budget = self.pool.budget
+        budget.limit = limits.connections
+        budget.shared_limit = limits.shared_connections
+        budget.own_sockets = limits.own_sockets
+        budget.successor_reserve = limits.own_sockets  # a successor sets aside as many
+        budget.publish()
+
     # callbacks of the network code
 
     def on_endpoint_list(self, kind: EndpointListKind, endpoints: list[Endpoint]) -> None:
--- a/onyxhollow/wire/buffers.py
+++ b/onyxhollow/wire/buffers.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from onyxhollow.wire.connection_budget import ConnectionBudget
+
 MAX_LINE_SIZE = 4096  # bytes, with the line end; the protocol's limit
 BUFFER_SIZE = 2 * MAX_LINE_SIZE  # bytes
 MAX_SPARE_BUFFERS = 64  # cached for reuse
@@ -24,7 +26,7 @@
 
 
 class BufferPool:
-    """Spare buffers shared by all connections, the number of open connections and those shutting down.
+    """Spare buffers shared by all connections, their budget, and the connections that are shutting down.
 
     A connection has a buffer only while it holds received bytes, so idle connections use none of the memory
     limit. Each open connection uses a descriptor, whether the loop watches it or not.
@@ -32,11 +34,16 @@
 
     def __init__(self) -> None:
         self.spare: list[bytearray] = []
-        self.open_connections = 0
+        self.budget = ConnectionBudget()
         self.high_water_mark = DEFAULT_HIGH_WATER_MARK  # unsent bytes above which the source is not read
         # Connections that are shutting down, by descriptor, in the order in which they began to.
         self.closing: dict[int, ClosingConnection] = {}
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections of this process."""
+        return self.budget.open_connections
+
     def acquire(self) -> bytearray:
         """Return a spare buffer, or a new one."""
         return self.spare.pop() if self.spare else bytearray(BUFFER_SIZE)
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -54,7 +54,7 @@
         self.last_read_at = 0.0  # loop time of the last received bytes, while discarding
         self.backing_off = False  # not watched for a short time, as this machine lacks a resource
         self.loop.watch(self.fd, self.wanted_events(), self.on_ready)
-        pool.open_connections += 1
+        pool.budget.add()
 
     @classmethod
     def connect(cls, loop: Loop, address: Address, pool: BufferPool, wake: Callable[[], None]) -> Channel:
@@ -253,7 +253,7 @@
         self.loop.watch(self.fd, 0, None)
         self.closed = True
         self.ended = True
-        self.pool.open_connections -= 1
+        self.pool.budget.remove()
         self.pool.closing.pop(self.fd, None)
         self.inbox.discard()
         self.sock.close()
--- a/onyxhollow/wire/session_registry.py
+++ b/onyxhollow/wire/session_registry.py
@@ -127,7 +127,7 @@
     @property
     def is_at_limit(self) -> bool:
         """Whether the limit is reached; descriptors above it are for attempts, health checks and the list."""
-        return self.pool.open_connections >= self.connection_limit
+        return self.pool.budget.used >= self.connection_limit
 
     def free_descriptors(self) -> bool:
         """Close connections without a request, so that descriptors are left for those with one.
@@ -138,12 +138,21 @@
         if self.is_at_limit:
             self._close_ending_connections()
         while self.is_at_limit:
-            oldest_idle = self.table.longest_idle()
-            if oldest_idle is None or self.loop.now - oldest_idle.accepted_at < NEW_CONNECTION_GRACE_SECONDS:
-                break  # its first line may be in transit
-            self._evict(oldest_idle)
+            if not self._evict_oldest_idle():
+                break
         return not self.is_at_limit
 
+    def yield_descriptors(self) -> None:
+        """Close the connections without a request for the successor, once both processes reach the limit.
+
+        The successor can't close connections here, and its new clients would wait until these time out.
+        """
+        if not self.is_at_limit:
+            return
+        self._close_ending_connections()
+        while self._evict_oldest_idle():
+            pass
+
     def _close_ending_connections(self) -> None:
         now = self.loop.now
         for closing in list(self.pool.closing.values()):
@@ -153,6 +162,17 @@
                 closing.close()
                 self.counters.add("leaving connections closed for room")
 
+    def _evict_oldest_idle(self) -> bool:
+        """Close the connection that has waited longest for its first line; return False if there is none.
+
+        A connection within its grace period is kept, as its first line may be in transit.
+        """
+        oldest_idle = self.table.longest_idle()
+        if oldest_idle is None or self.loop.now - oldest_idle.accepted_at < NEW_CONNECTION_GRACE_SECONDS:
+            return False
+        self._evict(oldest_idle)
+        return True
+
     def _evict(self, connection: ClientConnection) -> None:
         self.table.mark_active(connection)
         connection.client.read()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,5 +1,6 @@
 """Management API, drain, reload and replacement of a proxy process, tested on loopback."""
 
+import errno
 import json
 import os
 import socket
@@ -434,7 +435,7 @@
 
     def __init__(self, start_proxy, folder):
         self.start_proxy, self.folder = start_proxy, str(folder)
-        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=1024)
         self.running = []
 
     def start(self, **changes):
@@ -452,6 +453,13 @@
                 proxy.proxy.loop.turn(0.002)
         return result
 
+    def run_for(self, duration):
+        """Turn all loops for so many seconds."""
+        end = time.monotonic() + duration
+        while time.monotonic() < end:
+            for proxy in self.running:
+                proxy.proxy.loop.turn(0.002)
+
     def kill(self, proxy):
         """Close the locked files and the listener of a process, as when it is killed."""
         self.running.remove(proxy)
@@ -480,9 +488,9 @@
     return ProcessGroup(start_proxy, tmp_path)
 
 
-def start_replacement(processes):
+def start_replacement(processes, **changes):
     """Start one more process, and return it once it accepts clients instead of its predecessor."""
-    new = processes.start()
+    new = processes.start(**changes)
     processes.until(lambda: new.list_service.connection())
     new.answer_list(EMPTY_DELTA)
     processes.until(lambda: processes.running[-2].proxy.service.replaced)
@@ -850,3 +858,83 @@
     assert parse_metrics(proxy.call_management("counters")[1])["lb_inflight", None] == 5
     proxy.until(lambda: not proxy.proxy.loop.running, within=2.5)
     assert all(client.read() == b"MOVE\r\n" for client in clients) and not proxy.proxy.sessions.active_count
+
+
+def count_sockets(proxies):
+    """Return the number of connections that the processes hold, with those of their management APIs."""
+    return sum(
+        proxy.proxy.pool.open_connections + proxy.proxy.management.pool.open_connections for proxy in proxies
+    )
+
+
+def connect_silent_clients(processes, count):
+    """Connect clients that send nothing, and return them."""
+    return [Peer(socket.create_connection(processes.socket.getsockname())) for _ in range(count)]
+
+
+def test_both_processes_of_a_replacement_together_keep_the_limit_on_sockets(processes):
+    # Guards against a successor that takes the whole limit while its predecessor still holds its own clients:
+    # the platform ends a proxy whose processes together hold more sockets than the limit.
+    sockets = 128
+    old = processes.start(sockets=sockets)
+    established = [old.establish() for _ in range(10)]
+    silent = connect_silent_clients(processes, 200)
+    processes.until(lambda: old.counts["accepts put off for want of room"])
+    new = processes.start(sockets=sockets)
+    counts = []
+
+    def count_and_check(condition):
+        counts.append(count_sockets([old, new]))
+        return condition()
+
+    processes.until(lambda: count_and_check(new.list_service.connection))
+    new.answer_list(EMPTY_DELTA)
+    processes.until(lambda: count_and_check(lambda: old.proxy.service.replaced))
+    usual = Peer(socket.create_connection(processes.socket.getsockname()))
+    usual.send(b"PING\r\n")
+    processes.until(lambda: count_and_check(lambda: usual.read() == b"PONG\r\n"))
+    silent += connect_silent_clients(processes, 100)
+    old.proxy.loop.spawn(old.proxy.shutdown.run())
+    processes.until(lambda: count_and_check(lambda: not old.proxy.loop.running), within=4.0)
+    assert new.counts["connections taken over"] == len(established)
+    assert new.counts["connections accepted"] > len(silent) / 3
+    assert max(counts) <= sockets
+
+
+def test_a_successor_of_an_earlier_version_takes_half_of_the_limit(processes, monkeypatch):
+    # Guards against the same fault beside a predecessor that does not publish how many sockets it uses.
+    monkeypatch.setattr(handovers.SocketCountFile, "write", lambda *_: None)
+    old = processes.start(sockets=128)
+    monkeypatch.setattr(old.proxy.replacement, "write_state", lambda _: None)
+    new = start_replacement(processes, sockets=128)
+    silent = connect_silent_clients(processes, 200)
+    processes.until(lambda: new.counts["accepts put off for want of room"])
+    processes.run_for(0.4)
+    assert len(silent) / 10 < new.proxy.pool.open_connections <= 64
+
+
+def test_the_sockets_of_a_process_that_has_ended_are_available_again(processes):
+    # Guards against a limit that stays lowered by the number that a dead process has published.
+    old = processes.start(sockets=128)
+    unavailable_alone = old.proxy.pool.budget.unavailable
+    new = start_replacement(processes, sockets=128)
+    silent = connect_silent_clients(processes, 30)
+    processes.until(lambda: new.counts["connections accepted"] == len(silent))
+    assert old.proxy.pool.budget.unavailable >= unavailable_alone + len(silent)
+    processes.kill(new)
+    processes.until(lambda: old.proxy.pool.budget.unavailable == unavailable_alone)
+    successor = start_replacement(processes, sockets=128)
+    processes.kill(old)
+    processes.until(lambda: successor.proxy.handover.serving_lock is not None)
+    assert successor.proxy.pool.budget.unavailable == unavailable_alone
+
+
+def test_without_space_for_the_numbers_of_sockets_a_process_starts(processes, monkeypatch):
+    # Guards against a start that fails on a full $TMPDIR.
+    def fail(*_):
+        raise OSError(errno.ENOSPC, "no space")
+
+    monkeypatch.setattr(os, "pwrite", fail)
+    proxy = processes.start(sockets=128)
+    assert proxy.proxy.service.ready and proxy.proxy.handover.socket_counts is None
+    processes.connect_client_to(proxy)
