The numbers of sockets are published in the serving process's own file

Change: the two numbers stand in onyxhollow-serving, which held nothing; a predecessor whose number is 0 publishes none. The state file is as it was. A process that ends sets its number to 0.

--- a/onyxhollow/lifecycle/handover.py
+++ b/onyxhollow/lifecycle/handover.py
@@ -3,7 +3,7 @@
 Each role has a file, `onyxhollow-serving` and `onyxhollow-successor`, locked by the process in that role. The
 system releases the lock when the process ends, however it ends. The successor announces its state in the file
 that it has locked. When it announces that it starts, the serving process writes its own state for it to
-`onyxhollow-state`: a header and one record per endpoint, as JSON lines. In `onyxhollow-sockets` both publish
+`onyxhollow-state`: a header and one record per endpoint, as JSON lines. In `onyxhollow-serving` both publish
 how many sockets they use.
 """
 
@@ -173,8 +173,7 @@
         self.successor_lock = descriptor
         self.has_no_role = self.successor_lock is None  # two other processes have the roles
         self.published_sockets = 0
-        self.predecessor_publishes = False  # until its state says so
-        self.socket_counts = None if self.has_no_role else self.open_socket_counts(folder)
+        self.socket_counts = None if self.has_no_role else self.open_socket_counts()
         if not self.take_over():
             self.announce(STARTING)
 
@@ -228,10 +227,10 @@
 
     # Numbers of sockets: the methods of SocketCounts.
 
-    def open_socket_counts(self, folder: str) -> SocketCountFile | None:
+    def open_socket_counts(self) -> SocketCountFile | None:
         """Return the numbers of sockets, or None without space for them; the successor lock is held."""
         with contextlib.suppress(OSError, ValueError):
-            counts = SocketCountFile(os.path.join(folder, "onyxhollow-sockets"))
+            counts = SocketCountFile(self.serving_path)
             counts.write(SUCCESSOR_COUNT, 0)
             return counts
         return None
@@ -243,8 +242,11 @@
 
     @property
     def other_publishes(self) -> bool:
-        """Whether the other process publishes the number of its sockets, as far as this one knows."""
-        return not self.is_successor or (self.predecessor_publishes and self.socket_counts is not None)
+        """Whether the other process publishes the number of its sockets, as far as this one knows.
+
+        A serving process that publishes never uses 0 sockets. One of an earlier version leaves it at 0.
+        """
+        return not self.is_successor or self.count_other_sockets() > 0
 
     def publish_sockets(self, count: int) -> None:
         """Publish the number of sockets that this process uses."""
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -284,6 +284,8 @@
             memory=config.memory_bytes // BYTES_PER_MEBIBYTE,
         )
         self.loop.run()
+        if self.handover is not None:
+            self.handover.publish_sockets(0)
         self.log_counters()
 
     def log_counters(self) -> None:
--- a/onyxhollow/lifecycle/replacement.py
+++ b/onyxhollow/lifecycle/replacement.py
@@ -26,7 +26,6 @@
 POLL_INTERVAL_SECONDS = 0.1  # between checks of the other process of this proxy
 HANDOFF_INTERVAL_SECONDS = 0.005  # between two batches of connections handed off
 MAX_LOGGED_REASON_CHARACTERS = 200
-PUBLISHES_SOCKETS_KEY = "publishes_sockets"  # in the state for a successor
 
 
 class Replacement:
@@ -126,8 +125,6 @@
             StateError: The state file is missing or cannot be used.
         """
         common, records = self.handover.read_state()
-        # A predecessor of an earlier version publishes no number of sockets, and writes no such key.
-        self.handover.predecessor_publishes = common.get(PUBLISHES_SOCKETS_KEY) is True
         clock = self.discovery.clock
         clock.restore(common["starts"])
         if not self.first_list.is_received and common["discovery"] == list(configured_discovery):
@@ -183,7 +180,6 @@
             common, records = self.decisions.take_snapshot()
             common |= {"discovery": self.discovery.address, "list": self.discovery.snapshot()}
             common["starts"] = self.discovery.clock.starts
-            common[PUBLISHES_SOCKETS_KEY] = True
             self.handover.write_state(token, common, records)
             self.log("handed over", servers=len(records))
         except Exception as error:  # noqa: BLE001 -- the successor can start without this state
