No attempt is made above the descriptor limit when queued sessions are placed at once

What callers saw: nothing yet; a process could hold more connections than its configured limit, which the platform ends. Cause: the limit was checked when a session was admitted. A session that waited for an endpoint opened its second connection later, and nothing looked at the limit then. Change: Channel.connect fails with EMFILE once the budget is exhausted, as it does at the system's own limit, but for the connection to the list service, which has a descriptor set aside; room is made before each attempt as before admission.

--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -195,6 +195,7 @@
         self.shutdown.stop_time = limits.stop_time
         self.acceptor.max_connections = limits.accepted_connections
         self.sessions.connection_limit = limits.client_connections
+        self.sessions.free_descriptors()  # the limit may be lower now
         self.health_checker.max_connections = limits.health_check_connections
         self.pool.high_water_mark = limits.high_water_mark
 
--- a/onyxhollow/wire/channel.py
+++ b/onyxhollow/wire/channel.py
@@ -57,8 +57,28 @@
         pool.budget.add()
 
     @classmethod
-    def connect(cls, loop: Loop, address: Address, pool: BufferPool, wake: Callable[[], None]) -> Channel:
-        """Start to connect and return the channel; raise OSError if that fails at once."""
+    def connect(
+        cls,
+        loop: Loop,
+        address: Address,
+        pool: BufferPool,
+        wake: Callable[[], None],
+        is_reserved: bool = False,
+    ) -> Channel:
+        """Start to connect and return the channel.
+
+        Args:
+            loop: The loop that watches the connection.
+            address: Of the peer.
+            pool: Its budget counts the connection.
+            wake: Called after each change.
+            is_reserved: Whether a descriptor was set aside, so that the budget does not prevent the connect.
+
+        Raises:
+            OSError: The budget is exhausted (EMFILE, as at the system's limit), or the connect fails at once.
+        """
+        if pool.budget.is_exhausted and not is_reserved:
+            raise OSError(errno.EMFILE, "connect: expected a free descriptor, got none")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/onyxhollow/wire/discovery_connection.py
+++ b/onyxhollow/wire/discovery_connection.py
@@ -41,7 +41,7 @@
 
     def __init__(self, loop: Loop, address: Address, pool: BufferPool, wake: Callable[[], None]) -> None:
         self.loop = loop
-        self.channel = Channel.connect(loop, address, pool, wake)
+        self.channel = Channel.connect(loop, address, pool, wake, is_reserved=True)
         self.http = h11.Connection(h11.CLIENT)
         self.host = f"{address[0]}:{address[1]}"
 
--- a/onyxhollow/wire/placement.py
+++ b/onyxhollow/wire/placement.py
@@ -158,6 +158,7 @@
         """Make one attempt, and forward the endpoint's UP unless the client has left."""
         session = self.session
         session.advance(ConnectionEvent.ATTEMPT_STARTED)
+        self.registry.free_descriptors()  # others may have been opened while this session waited
         result = yield from self.registry.attempts.run(endpoint, wait, self)
         if result.channel is None:
             session.advance(ConnectionEvent.ATTEMPT_FAILED)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -981,3 +981,37 @@
     code = "from onyxhollow.counters import Counters as C; c = C(); c.must(0, 'x'); print(c.counts)"
     result = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True)
     assert result.stdout == "Counter({'broken: x': 1})\n"
+
+
+def test_queued_sessions_do_not_exceed_the_descriptor_limit_when_they_are_placed_at_once(loopback):
+    # Guards against attempts above the limit: it was checked when a session was admitted, and a session that
+    # waited for an endpoint opened its second connection later, together with all others.
+    proxy = loopback(sockets=64, has_cached_list=False)
+    limit = 64 - OWN_DESCRIPTORS
+    clients = [proxy.open_session() for _ in range(limit - 12)]
+    proxy.until(lambda: proxy.counts["sessions taken"] == len(clients))
+    body = json.dumps({"seq": 8, "whole": True, "hosts": [proxy.list_record("a")]}).encode()
+    proxy.answer_list(body)
+    counts = []
+
+    def all_are_answered():
+        counts.append(proxy.proxy.pool.open_connections)
+        for peer in iter(proxy.endpoints["a"].accept, None):
+            peer.send(b"UP r1\r\n")
+        return all(client.read() for client in clients)
+
+    proxy.until(all_are_answered)
+    answers = {client.received.split()[0] for client in clients}
+    assert max(counts) <= limit and answers <= {b"UP", b"BUSY"} and b"UP" in answers
+
+
+def test_a_reload_with_a_lower_descriptor_limit_closes_idle_connections(loopback, monkeypatch):
+    # Guards against a limit that a reload lowered and that holds only from the next accepted connection on.
+    monkeypatch.setattr(session_registry, "NEW_CONNECTION_GRACE_SECONDS", 0.0)
+    proxy = loopback(sockets=500)
+    idle = [proxy.connect_client() for _ in range(100)]
+    proxy.until(lambda: proxy.counts["connections accepted"] == len(idle))
+    proxy.config = replace(proxy.config, max_sockets=64)
+    proxy.proxy.reloader.reload()
+    proxy.run_for(0.02)
+    assert not proxy.proxy.sessions.is_at_limit
