A drain that is requested while the process starts is kept

What callers saw: POST /control/out-of-service right after a start is answered 200; 0.5 s later the process takes clients, and 4 s after the call it holds them. Cause: take_out_of_service acted only in the phase IN_SERVICE and answered 200 in each other one; the end of the start then set IN_SERVICE. Change: a process that starts is out of service at once; the end of the start leaves that phase alone, and in-service leads back to the start while the list has not been heard. A process beside which another one serves the clients can't keep the promise and answers 503. What comes up on a process out of service (handed off, or open before a restart) is moved at once.

--- a/onyxhollow/lifecycle/draining.py
+++ b/onyxhollow/lifecycle/draining.py
@@ -5,6 +5,8 @@
 import math
 from collections.abc import Callable, Generator
 
+from onyxhollow.lifecycle.accepting import ClientAcceptor
+from onyxhollow.lifecycle.handover import Handover
 from onyxhollow.management.api import PLAIN_TEXT, Answer
 from onyxhollow.service_state import ServicePhase, ServiceState
 from onyxhollow.wire.network_context import NetworkContext
@@ -60,19 +62,33 @@
         context: NetworkContext,
         sessions: SessionRegistry,
         service: ServiceState,
+        acceptor: ClientAcceptor,
         migrator: ClientMigrator,
+        handover: Handover | None,
     ) -> None:
         self.loop = context.loop
         self.pool = context.pool
         self.log = context.log
         self.sessions = sessions
         self.service = service
+        self.acceptor = acceptor
         self.migrator = migrator
+        self.handover = handover  # None if this process can't be replaced
         self.drain_count = 0  # drains started so far; a new drain ends an earlier one
 
     def take_out_of_service(self, _: str) -> Answer:
-        """Start a drain if the process is in service, and answer the operator."""
-        if self.service.ready:
+        """Start a drain if the process is in service, and answer the operator.
+
+        A process that starts has no client to migrate and is out of service at once. The call is refused while
+        the other process of this proxy serves the clients, because this process can't keep the promise then.
+        """
+        if self.other_process_serves():
+            return 503, b"another process of this proxy serves its clients\n", PLAIN_TEXT
+        if self.service.is_any(ServicePhase.STARTING):
+            self.service.phase = ServicePhase.OUT_OF_SERVICE
+            self.log("out of service", live=self.sessions.active_count, within=0.0)
+            self.acceptor.update()
+        elif self.service.ready:
             self.drain_count += 1
             self.service.phase = ServicePhase.DRAINING
             self.log("out of service", live=self.sessions.active_count, within=DRAIN_SECONDS)
@@ -84,10 +100,18 @@
         if self.service.stopping:
             return 503, b"stopping\n", PLAIN_TEXT
         if self.service.is_any(ServicePhase.DRAINING, ServicePhase.OUT_OF_SERVICE):
-            self.service.phase = ServicePhase.IN_SERVICE
+            self.service.end_drain()
             self.log("in service", live=self.sessions.active_count)
+            self.acceptor.update()
         return 200, b"in service\n", PLAIN_TEXT
 
+    def other_process_serves(self) -> bool:
+        """Return whether new clients go to the predecessor, which is alive, or to the successor."""
+        if self.service.replaced or self.service.is_any(ServicePhase.HANDING_OVER):
+            return True
+        is_successor = self.handover is not None and self.handover.is_successor
+        return is_successor and self.service.is_any(ServicePhase.STARTING)
+
     def drain(self, number: int) -> Generator[float, None, None]:
         """Migrate all clients, unless the drain is cancelled or replaced by another one.
 
--- a/onyxhollow/lifecycle/first_list.py
+++ b/onyxhollow/lifecycle/first_list.py
@@ -7,7 +7,7 @@
 from onyxhollow.interface import EndpointListKind
 from onyxhollow.lifecycle.accepting import ClientAcceptor
 from onyxhollow.loop import Loop, Task
-from onyxhollow.service_state import ServicePhase, ServiceState
+from onyxhollow.service_state import ServiceState
 
 FIRST_LIST_TIMEOUT_SECONDS = 0.5  # wait before accepting clients when the list is pushed
 
@@ -42,6 +42,5 @@
         deadline = loop.now + FIRST_LIST_TIMEOUT_SECONDS
         while not self.is_answered and loop.now < deadline:
             yield deadline
-        if service.is_any(ServicePhase.STARTING):
-            service.phase = ServicePhase.IN_SERVICE
-            acceptor.update()
+        service.end_start()
+        acceptor.update()
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -111,7 +111,7 @@
         )
         self.acceptor = ClientAcceptor(context, self.sessions, self.service, self.listener)
         migrator = ClientMigrator(context, self.sessions)
-        self.drain = OperatorDrain(context, self.sessions, self.service, migrator)
+        self.drain = OperatorDrain(context, self.sessions, self.service, self.acceptor, migrator, handover)
         self.replacement = self.make_replacement(context, handover)
         self.shutdown = Shutdown(
             context,
--- a/onyxhollow/lifecycle/replacement.py
+++ b/onyxhollow/lifecycle/replacement.py
@@ -11,7 +11,7 @@
 from onyxhollow.lifecycle.accepting import ClientAcceptor
 from onyxhollow.lifecycle.first_list import FirstList
 from onyxhollow.lifecycle.handover import STARTING, STOPPING, TAKING, Handover, StateError
-from onyxhollow.service_state import ServicePhase, ServiceState
+from onyxhollow.service_state import ServiceState
 from onyxhollow.wire.client_session import accept_handoff
 from onyxhollow.wire.endpoint_addresses import Address
 from onyxhollow.wire.endpoint_list import EndpointList, decode_endpoint_list
@@ -87,7 +87,7 @@
     def take_clients(self, started_at: float) -> Generator[float, None, None]:
         """Accept new clients, and receive open connections until the predecessor has ended."""
         receiver = self.open_receiver()
-        self.service.phase = ServicePhase.IN_SERVICE
+        self.service.end_start()
         self.acceptor.update()
         self.handover.announce(TAKING, receiver.path if receiver else "")
         self.log(
--- a/onyxhollow/service_state.py
+++ b/onyxhollow/service_state.py
@@ -21,6 +21,7 @@
 
     def __init__(self, phase: ServicePhase) -> None:
         self.phase = phase
+        self.awaiting_list = phase is ServicePhase.STARTING  # the list known so far must not place clients
         self.replaced = False  # a successor accepts clients; if it dies, this process accepts them again
 
     def is_any(self, *phases: ServicePhase) -> bool:
@@ -41,13 +42,28 @@
 
         True while the process stops, because it still serves connections that the front end routes to it.
         """
-        return not self.is_any(ServicePhase.DRAINING, ServicePhase.OUT_OF_SERVICE)
+        return not self.is_any(ServicePhase.STARTING, ServicePhase.DRAINING, ServicePhase.OUT_OF_SERVICE)
+
+    @property
+    def rejects_requests(self) -> bool:
+        """Whether new requests are rejected, on connections that were accepted before or are kept open."""
+        return self.is_any(ServicePhase.STARTING, ServicePhase.OUT_OF_SERVICE)
 
     @property
     def stopping(self) -> bool:
         """Whether the process is stopping, with or without a successor."""
         return self.is_any(ServicePhase.STOPPING, ServicePhase.HANDING_OVER)
 
+    def end_start(self) -> None:
+        """Go into service after the start, unless the process was drained or stopped meanwhile."""
+        self.awaiting_list = False
+        if self.is_any(ServicePhase.STARTING):
+            self.phase = ServicePhase.IN_SERVICE
+
+    def end_drain(self) -> None:
+        """Go back into service after a drain, or back to the start if that has not ended yet."""
+        self.phase = ServicePhase.STARTING if self.awaiting_list else ServicePhase.IN_SERVICE
+
     @property
     def accepts(self) -> bool:
         """Whether the process accepts connections on the clients' listening socket."""
--- a/onyxhollow/wire/placement.py
+++ b/onyxhollow/wire/placement.py
@@ -8,7 +8,6 @@
 from onyxhollow.counters import ACCEPTED
 from onyxhollow.decision_adapter import Selection, SessionHandle
 from onyxhollow.interface import AttemptOutcome, Listener, Tenant
-from onyxhollow.service_state import ServicePhase
 from onyxhollow.wire.attempts import AttemptResult
 from onyxhollow.wire.connection_states import ConnectionEvent
 from onyxhollow.wire.messages import MalformedError, OpenRequest
@@ -92,8 +91,8 @@
         return listener
 
     def time_for_decisions(self) -> float:
-        """Return the seconds left for placement; -inf if out of service, so that the request is rejected."""
-        if self.registry.service.is_any(ServicePhase.OUT_OF_SERVICE):
+        """Return the seconds left for placement; -inf if requests are rejected in this service phase."""
+        if self.registry.service.rejects_requests:
             return -math.inf
         time_left = self.request.time_left
         return time_left - min(ANSWER_MARGIN_SECONDS, time_left / 10)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -937,3 +937,79 @@
     proxy = processes.start(sockets=128)
     assert proxy.proxy.service.ready and proxy.proxy.handover.socket_counts is None
     processes.connect_client_to(proxy)
+
+
+def ping(proxy, until):
+    """Return the answer to a PING on a new connection."""
+    front = proxy.connect_client(b"PING\r\n")
+    until(lambda: front.read().endswith(b"\r\n"))
+    return front.received
+
+
+def test_a_drain_that_is_requested_during_the_start_is_kept(start_proxy):
+    # Guards against a drain that is answered 200 before the first endpoint list arrived, and then forgotten.
+    proxy = start_proxy(list_is_polled=False)
+    assert proxy.call_management("ready") == (503, "starting\n")
+    assert proxy.call_management("out-of-service", "POST")[0] == 200
+    assert ping(proxy, proxy.until) == b"BUSY\r\n"
+    proxy.answer_list(EMPTY_DELTA)
+    proxy.until(lambda: proxy.proxy.first_list.is_received)
+    proxy.until(lambda: not proxy.proxy.service.awaiting_list)
+    assert proxy.call_management("ready") == (503, "out of service\n")
+    assert ping(proxy, proxy.until) == b"BUSY\r\n"
+    rejected = proxy.open_session()
+    proxy.until(lambda: rejected.read() == b"BUSY\r\n" and rejected.end)
+    assert proxy.call_management("in-service", "POST")[0] == proxy.call_management("ready")[0] == 200
+    assert ping(proxy, proxy.until) == b"PONG\r\n" and proxy.establish()
+
+
+def test_a_drain_that_is_cancelled_during_the_start_waits_for_the_first_list(start_proxy):
+    # Guards against a call that puts a process into service before it may place clients by its list.
+    proxy = start_proxy(list_is_polled=False)
+    proxy.call_management("out-of-service", "POST")
+    waiting = proxy.connect_client(b"PING\r\n")
+    proxy.until(lambda: waiting.read() == b"BUSY\r\n")
+    assert proxy.call_management("in-service", "POST")[0] == 200
+    assert proxy.call_management("ready") == (503, "starting\n")
+    waiting.send(b"PING\r\nOPEN 9b1f7 7f3a c=calls,d=2000\r\n")
+    proxy.until(lambda: waiting.read() == b"BUSY\r\n" * 3)
+    proxy.answer_list(EMPTY_DELTA)
+    proxy.until(lambda: proxy.proxy.service.ready)
+    assert ping(proxy, proxy.until) == b"PONG\r\n" and proxy.establish()
+
+
+def test_the_process_that_does_not_serve_the_clients_refuses_a_drain(processes):
+    # Guards against a drain of one process that the other process of the proxy does not follow.
+    old = processes.start()
+    new = processes.start()
+    processes.until(lambda: new.list_service.connection())
+    assert new.call_management("out-of-service", "POST")[0] == 503 and old.proxy.service.ready
+    new.answer_list(EMPTY_DELTA)
+    processes.until(lambda: old.proxy.service.replaced)
+    assert old.call_management("out-of-service", "POST")[0] == 503
+    assert new.call_management("out-of-service", "POST")[0] == 200
+    assert ping(new, processes.until) == b"BUSY\r\n"
+
+
+def test_connections_that_a_drained_successor_receives_are_migrated(processes, monkeypatch):
+    # Guards against clients that a process out of service holds after they were handed off to it.
+    monkeypatch.setattr(draining, "DRAIN_DELAY_SECONDS", 0.05)
+    monkeypatch.setattr(draining, "DRAIN_SECONDS", 0.3)
+    old = processes.start()
+    clients = [old.establish()[0] for _ in range(3)]
+    new = start_replacement(processes)
+    new.call_management("out-of-service", "POST")
+    processes.until(lambda: new.call_management("ready") == (503, "out of service\n"))
+    old.proxy.loop.spawn(old.proxy.shutdown.run())
+    processes.until(
+        lambda: all(client.read() == b"MOVE\r\n" and client.end for client in clients), within=1.5
+    )
+
+
+def test_a_session_from_before_the_start_is_migrated_when_the_process_is_out_of_service(start_proxy):
+    # Guards against the same for sessions that reconnect after a restart.
+    proxy = start_proxy(list_is_polled=False)
+    proxy.call_management("out-of-service", "POST")
+    client = proxy.connect_client(b"OPEN 9b1f7 7f3a c=calls,d=2000,at=a\r\n")
+    proxy.until(lambda: proxy.endpoints["a"].connection()).send(b"UP r1\r\n")
+    proxy.until(lambda: client.read() == b"UP r1\r\nMOVE\r\n" and client.end)
