A drained process answers no PONG while it stops

What callers saw: after out-of-service the front was told BUSY; with SIGTERM the same process answered PONG again, and clients that came for it met a process that ends. Cause: the phase STOPPING replaces DRAINING or OUT_OF_SERVICE, and PING is answered by the phase alone. Change: the phase before the stop is remembered; a drained process answers BUSY until it ends. With a successor nothing changes: the answer speaks for the proxy, which serves.

--- a/onyxhollow/lifecycle/draining.py
+++ b/onyxhollow/lifecycle/draining.py
@@ -79,8 +79,8 @@
     def take_out_of_service(self, _: str) -> Answer:
         """Start a drain if the process is in service, and answer the operator.
 
-        A process that starts has no client to migrate and is out of service at once. The call is refused while
-        the other process of this proxy serves the clients, because this process can't keep the promise then.
+        A process that starts has no client to migrate and is out of service at once. The call is refused
+        while the other process of this proxy serves the clients: this process can't keep the promise then.
         """
         if self.other_process_serves():
             return 503, b"another process of this proxy serves its clients\n", PLAIN_TEXT
--- a/onyxhollow/lifecycle/shutdown.py
+++ b/onyxhollow/lifecycle/shutdown.py
@@ -83,7 +83,7 @@
                     replacement.handoff_path, deadline - STOP_MARGIN_SECONDS
                 )
         else:
-            self.service.phase = ServicePhase.STOPPING
+            self.service.begin_stop()
             self.acceptor.update()  # also when this process had not started accepting
             yield from self.loop.sleep(NEW_CONNECTIONS_SECONDS)
         yield from self.acceptor.stop_listening(deadline)
--- a/onyxhollow/service_state.py
+++ b/onyxhollow/service_state.py
@@ -22,6 +22,7 @@
     def __init__(self, phase: ServicePhase) -> None:
         self.phase = phase
         self.awaiting_list = phase is ServicePhase.STARTING  # the list known so far must not place clients
+        self.drained_before_stop = False  # an operator had drained this process when it was told to stop
         self.replaced = False  # a successor accepts clients; if it dies, this process accepts them again
 
     def is_any(self, *phases: ServicePhase) -> bool:
@@ -42,6 +43,8 @@
 
         True while the process stops, because it still serves connections that the front end routes to it.
         """
+        if self.drained_before_stop:
+            return False
         return not self.is_any(ServicePhase.STARTING, ServicePhase.DRAINING, ServicePhase.OUT_OF_SERVICE)
 
     @property
@@ -64,6 +67,11 @@
         """Go back into service after a drain, or back to the start if that has not ended yet."""
         self.phase = ServicePhase.STARTING if self.awaiting_list else ServicePhase.IN_SERVICE
 
+    def begin_stop(self) -> None:
+        """Stop without a successor, and remember whether the front end was told to send no clients."""
+        self.drained_before_stop = self.is_any(ServicePhase.DRAINING, ServicePhase.OUT_OF_SERVICE)
+        self.phase = ServicePhase.STOPPING
+
     @property
     def accepts(self) -> bool:
         """Whether the process accepts connections on the clients' listening socket."""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1013,3 +1013,16 @@
     client = proxy.connect_client(b"OPEN 9b1f7 7f3a c=calls,d=2000,at=a\r\n")
     proxy.until(lambda: proxy.endpoints["a"].connection()).send(b"UP r1\r\n")
     proxy.until(lambda: client.read() == b"UP r1\r\nMOVE\r\n" and client.end)
+
+
+def test_a_drained_process_does_not_invite_clients_while_it_stops(start_proxy):
+    # Guards against a PONG that makes the front end send clients to a drained process again, as it ends.
+    proxy = start_proxy()
+    front = proxy.connect_client(b"PING\r\n")
+    proxy.call_management("out-of-service", "POST")
+    proxy.proxy.loop.spawn(proxy.proxy.shutdown.run())
+    proxy.until(lambda: proxy.proxy.service.stopping)
+    front.send(b"PING\r\n")
+    proxy.until(lambda: front.read().count(b"\r\n") == 2)
+    assert front.received.endswith(b"BUSY\r\n")
+    assert ping(proxy, proxy.until) == b"BUSY\r\n"
