--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 import pytest
-from peers import CALLS, DEFAULT_SETTINGS, ProxyOnLoopback, StallFreeClock
+from peers import CALLS, DEFAULT_SETTINGS, MANAGEMENT_ADDRESS, ProxyOnLoopback, StallFreeClock
 
 from onyxhollow.interface import AttemptOutcome, Endpoint, EndpointListKind, EndpointState
 from onyxhollow.policy import Balancer
@@ -92,3 +92,9 @@
     yield make
     for proxy in proxies:
         proxy.close()
+
+
+@pytest.fixture
+def start_proxy(loopback):
+    """Return a function that starts a proxy on loopback with a management API."""
+    return lambda servers="a", **changes: loopback(servers, management=MANAGEMENT_ADDRESS, **changes)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -10,11 +10,14 @@
 """
 
 import contextlib
+import json
 import os
 import socket
 import time
 from dataclasses import replace
 
+from prometheus_client.parser import text_string_to_metric_families
+
 from onyxhollow.interface import Listener, Settings
 from onyxhollow.lifecycle.config import Config
 from onyxhollow.lifecycle.proxy import Proxy
@@ -39,6 +42,38 @@
 )
 
 
+MANAGEMENT_ADDRESS = ("127.0.0.1", 0)
+EMPTY_DELTA = json.dumps({"seq": 8, "whole": False, "hosts": []}).encode()  # an answer of the list service
+
+# A configuration file.
+CONFIG_DOCUMENT = {
+    "name": "n",
+    "listen": "127.0.0.1:1",
+    "discovery": "127.0.0.1:2",
+    "management": "127.0.0.1:3",
+    "seed": "5",
+    "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 500},
+    "known": {"seq": 0, "hosts": []},
+    "settings": {
+        "discovery": "on_request",
+        "weightKind": "nominal",
+        "peersTotal": 1,
+        "listeners": [
+            {
+                "name": name,
+                "semantics": "read_like",
+                "handshakeTargetNs": 3e8,
+                "dialTimeoutNs": 2e9,
+                "utility": 1.0,
+            }
+            for name in ("calls", "chat")
+        ],
+        "ceilings": {"mostDials": 3, "connectTimeoutNs": 250000000},
+        "rules": {"coldNs": 5000000000, "coldShare": 0.3},
+    },
+}
+
+
 class StallFreeClock:
     """Monotonic clock that leaves out the time in which this process waited for a core.
 
@@ -90,6 +125,22 @@
         return self.received
 
 
+def parse_metrics(text):
+    """Return the values of a metrics page by name and tier."""
+    return {
+        (row.name, row.labels.get("tier")): row.value
+        for family in text_string_to_metric_families(text)
+        for row in family.samples
+    }
+
+
+def ping(proxy, until):
+    """Return the answer to a PING on a new connection."""
+    front = proxy.connect_client(b"PING\r\n")
+    until(lambda: front.read().endswith(b"\r\n"))
+    return front.received
+
+
 class ScriptedServer:
     """A listening socket for an endpoint or the list service; the test answers on its connections."""
 
