A pushed list whose service rejects calls at once is polled again within the drain grace

What callers saw: after an outage of the list service told by 503, sessions were sent to a draining server 0.36 s after the drain counts as told; 0.30 s is allowed. Cause: on_failure waited 0.5 s after each answer but 200. A service that is busy with a whole fleet needs that pause, one that is down does not. Where the service refuses connections, the next call comes after 0.1 s and the drain is followed in time. Change: 0.1 s after each failure; 0.5 s only after a call that was turned away later than 0.3 s after it was made, unless it was a watch.

--- a/onyxhollow/wire/endpoint_list_watch.py
+++ b/onyxhollow/wire/endpoint_list_watch.py
@@ -24,10 +24,13 @@
 ANSWER_TIMEOUT_SECONDS = 3.5  # for an answer that is due at once; a busy service answers calls one by one
 SILENCE_TIMEOUT_SECONDS = 1.0  # after a poll's wait, until it counts as unanswered; the protocol allows 2 s
 WAIT_JITTER = (0.75, 1.25)  # factors of the wait, so that polls that start together do not end together
-REJECTED_BACKOFF_SECONDS = 0.5  # after a rejected call, if the policy expects pushed updates
-# The same after a call that did not reach the service: by the protocol, a change during the outage counts as
-# notified as soon as the service returns, apart from a short grace period.
-UNREACHABLE_BACKOFF_SECONDS = 0.1
+# Before the next call after a failed one, if the policy expects pushed updates. By the protocol, a change
+# during an outage counts as notified as soon as the service returns, apart from a short grace period.
+FAILED_BACKOFF_SECONDS = 0.1
+BUSY_BACKOFF_SECONDS = 0.5  # the same if the service is busy, so that the calls of a fleet do not keep it so
+BUSY_ANSWER_SECONDS = (
+    0.3  # a call that was rejected later than this had waited in the queue of a busy service
+)
 FLEET_POLLS_PER_SECOND = 2.0  # by all watches of a fleet together while nothing changes
 CONTINUATION_SECONDS = 0.2  # within which a watch must poll again after an answer, by the protocol
 STAGGERED_POLLS = 5  # polls after a failure that are delayed by a random time
@@ -89,7 +92,7 @@
         self.staggered_polls = 0  # further polls that are delayed by a random time
         self.timeouts = 0  # consecutive polls without an answer
         self.interrupted = True  # no poll has been answered since the start or the last failure
-        self.backoff = REJECTED_BACKOFF_SECONDS  # seconds before the next poll after a failure
+        self.backoff = FAILED_BACKOFF_SECONDS  # seconds before the next poll after a failure
         # The list in the service's format, by endpoint; passed to a successor.
         self.records: dict[str, Any] = {}
         self.restore(known)
@@ -187,6 +190,7 @@
             self.version = UNKNOWN_VERSION
         target, timeout = self.next_request()
         self.counters.add("list calls")
+        called_at = self.loop.now
         try:
             deadline = self.loop.now + timeout
             body = yield from self.ensure_connection().get(target, deadline, self.is_superseded)
@@ -196,7 +200,7 @@
             update = decode_endpoint_list(document, self.clock, self.loop.now)
         except (EndpointListError, OSError, ValueError, h11.ProtocolError) as error:
             self.disconnect()
-            return self.on_failure(error)
+            return self.on_failure(error, self.loop.now - called_at)
         self.poll_requested = False
         self.answer_at_once = False
         self.timeouts = 0
@@ -218,13 +222,14 @@
         """Return whether the answer of the poll in flight is no longer needed."""
         return self.next_address is not None or self.suspended
 
-    def on_failure(self, error: Exception) -> bool:
-        """Report a failed poll; return whether the next one may follow at once."""
+    def on_failure(self, error: Exception, duration: float) -> bool:
+        """Report a failed poll, which took `duration` seconds; return whether the next may follow at once."""
         if self.next_address is not None:
             return True  # cancelled by the switch, or failed just before: the new service is polled at once
         if self.suspended:
             return False  # cancelled because the fleet replicates the list: no failure
         self.counters.add("list failures")
+        was_interrupted = self.interrupted
         self.interrupted = True
         if isinstance(error, DiscoveryTimeoutError):
             # By the protocol, a change that an unanswered poll missed counts as notified 2 s after its wait.
@@ -236,11 +241,9 @@
                 self.on_update(EndpointListKind.FAILED, [])
             return True
         self.staggered_polls = STAGGERED_POLLS
-        self.backoff = (
-            REJECTED_BACKOFF_SECONDS
-            if isinstance(error, DiscoveryStatusError)
-            else UNREACHABLE_BACKOFF_SECONDS
-        )
+        is_late_rejection = isinstance(error, DiscoveryStatusError) and duration > BUSY_ANSWER_SECONDS
+        is_busy = is_late_rejection and was_interrupted  # else it is the end of a watch, which has waited
+        self.backoff = BUSY_BACKOFF_SECONDS if is_busy else FAILED_BACKOFF_SECONDS
         self.poll_requested = False  # the policy requests the next poll
         self.log("list failed", why=str(error)[:200], version=self.version)
         if isinstance(error, ValueError):
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -21,7 +21,7 @@
 from onyxhollow.interface import Idempotency
 from onyxhollow.lifecycle.config import ConfigError
 from onyxhollow.lifecycle.limits import OWN_DESCRIPTORS
-from onyxhollow.wire import line_forwarding, session_registry
+from onyxhollow.wire import endpoint_list_watch, line_forwarding, session_registry
 from onyxhollow.wire.buffers import BufferPool, LineBuffer, LineTooLongError
 from onyxhollow.wire.channel import Channel
 
@@ -588,6 +588,30 @@
     assert time.monotonic() - started_at < 0.2
 
 
+def test_a_list_service_that_rejects_calls_at_once_is_polled_again_within_the_drain_grace(loopback):
+    # Guards against a drain that is followed too late: a change during an outage counts as notified when the
+    # service returns, and a watch that was rejected with 503 came back after 0.5 s only.
+    proxy = loopback(list_is_polled=False)
+    proxy.until(lambda: proxy.list_service.connection())
+    proxy.answer_list(EMPTY_DELTA)
+    proxy.until(lambda: proxy.proxy.discovery.version == 8)
+    proxy.run_for(endpoint_list_watch.BUSY_ANSWER_SECONDS + 0.1)  # the watch waits for a change
+    proxy.answer_list(b"", b"503 No")
+    proxy.until(lambda: proxy.counts["list failures"] == 1)
+    failed_at = time.monotonic()
+    calls = proxy.counts["list calls"]
+    proxy.until(lambda: proxy.counts["list calls"] > calls, within=0.25)
+    proxy.until(lambda: proxy.list_service.connection(2))
+    proxy.run_for(
+        endpoint_list_watch.BUSY_ANSWER_SECONDS + 0.1
+    )  # the service is busy: it rejects the call later
+    proxy.answer_list(b"", b"503 No", number=2)
+    proxy.until(lambda: proxy.counts["list failures"] == 2)
+    calls = proxy.counts["list calls"]
+    proxy.run_for(0.3)
+    assert proxy.counts["list calls"] == calls and time.monotonic() - failed_at > 0.6
+
+
 def test_an_endpoint_listed_with_a_new_address_is_attempted_there(loopback):
     proxy, new_address = loopback(), ScriptedServer()
     row = {**proxy.list_record("a"), "dial": f"{HOST}:{new_address.port}"}
