A new process waits up to 2 s for its pushed list, and asks for an answer at once

What callers saw: a process that starts with an old list while the first call of the list takes 1 s sent sessions to draining servers 0.7 s after it counts as told ("from the first moment of a new process"); 0.30 s are allowed. Cause: the wait for the first list ended after 0.5 s, and the first call was a watch, so that the wait ran out at each start without news. Evidence: a script with real processes, first answers delayed by 0, 0.3, 1.0, 1.8 and 3.0 s, one run each: broken at the last three; ready after 0.46 s without a delay. Change: the wait is 2 s, and the first call asks for an answer at once; a successor does both already. The new test fails before. 291 tests of the proxy pass.

--- a/onyxhollow/lifecycle/first_list.py
+++ b/onyxhollow/lifecycle/first_list.py
@@ -9,7 +9,7 @@
 from onyxhollow.loop import Loop, Task
 from onyxhollow.service_state import ServiceState
 
-FIRST_LIST_TIMEOUT_SECONDS = 0.5  # wait before accepting clients when the list is pushed
+FIRST_LIST_TIMEOUT_SECONDS = 2.0  # wait before accepting clients when the list is pushed
 
 
 class FirstList:
--- a/onyxhollow/lifecycle/proxy.py
+++ b/onyxhollow/lifecycle/proxy.py
@@ -91,7 +91,7 @@
             known=config.known,
             on_update=self.on_endpoint_list,
             rng=Random(config.seed),
-            answer_at_once=is_successor,
+            answer_at_once=must_wait,
         )
         self.health_checker = HealthChecker(
             context, settings.load_field, config.health_check_timeout, on_result=self.on_health_check
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -427,6 +427,22 @@
     assert not proxy.endpoints["a"].accept() and proxy.counts["dials"] == 1
 
 
+def test_with_a_pushed_list_no_client_is_placed_while_the_first_answer_is_slow(loopback):
+    # Guards against a process that gives up waiting for its list after 0.5 s and sends to draining endpoints.
+    # The first poll must not wait for a change, or each start would take as long as its wait.
+    proxy = loopback("ab", list_is_polled=False)
+    client = proxy.open_session()
+    poll = proxy.until(lambda: proxy.list_service.connection())
+    assert b"wait=1 " in poll.received
+    proxy.run_for(1.2)
+    assert not proxy.counts["connections accepted"] and not proxy.counts["dials"]
+    rows = [proxy.list_record("a", "leaving"), proxy.list_record("b")]
+    proxy.answer_list(json.dumps({"seq": 8, "whole": False, "hosts": rows}).encode())
+    proxy.until(lambda: proxy.endpoints["b"].connection()).send(b"UP r1\r\n")
+    proxy.until(lambda: client.read() == b"UP r1\r\n")
+    assert not proxy.endpoints["a"].accept() and proxy.counts["dials"] == 1
+
+
 def test_with_a_pushed_list_clients_are_accepted_when_the_list_service_is_down(loopback):
     proxy = loopback("a", list_is_polled=False)
     proxy.list_service.sock.close()
