--- a/onyxhollow/wire/endpoint_list_watch.py
+++ b/onyxhollow/wire/endpoint_list_watch.py
@@ -28,9 +28,7 @@
 # during an outage counts as notified as soon as the service returns, apart from a short grace period.
 FAILED_BACKOFF_SECONDS = 0.1
 BUSY_BACKOFF_SECONDS = 0.5  # the same if the service is busy, so that the calls of a fleet do not keep it so
-BUSY_ANSWER_SECONDS = (
-    0.3  # a call that was rejected later than this had waited in the queue of a busy service
-)
+BUSY_ANSWER_SECONDS = 0.3  # a call rejected later than this waited in the queue of a busy service
 FLEET_POLLS_PER_SECOND = 2.0  # by all watches of a fleet together while nothing changes
 CONTINUATION_SECONDS = 0.2  # within which a watch must poll again after an answer, by the protocol
 STAGGERED_POLLS = 5  # polls after a failure that are delayed by a random time
